--- a/cmd/flamingoledge/cmds/cmds.go
+++ b/cmd/flamingoledge/cmds/cmds.go
@@ -61,7 +61,15 @@
 		Name:  "flamingoledge",
 		Usage: "weight distribution for bursts",
 		Commands: []*cli.Command{
+			entryCommand(),
+			sidecarCommand(),
+			standinCommand(),
+			configCommand(),
+			weightsCommand(),
+			statusCommand(),
 			demoCommand(),
+			measureCommand(),
+			docsCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- /dev/null
+++ b/cmd/flamingoledge/cmds/config.go
@@ -0,0 +1,201 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/tailscale/hujson"
+	"github.com/urfave/cli/v3"
+
+	"flamingoledge.org/flamingoledge/internal/platformclient"
+	"flamingoledge.org/flamingoledge/internal/publisher"
+	"flamingoledge.org/flamingoledge/pkg/acceptor"
+	"flamingoledge.org/flamingoledge/pkg/interpreter"
+	"flamingoledge.org/flamingoledge/pkg/provider"
+)
+
+const (
+	flagPlatform = "platform"
+	flagFile     = "file"
+	flagTimeout  = "timeout"
+	flagSubject  = "subject"
+	flagNoWait   = "no-wait"
+	flagRebase   = "rebase"
+)
+
+func platformFlag() cli.Flag {
+	return &cli.StringFlag{Name: flagPlatform, Required: true, Usage: "host and port of the platform"}
+}
+
+func timeoutFlag() cli.Flag {
+	return &cli.DurationFlag{Name: flagTimeout, Value: 10 * time.Second, Usage: "how long to wait"}
+}
+
+func configCommand() *cli.Command {
+	file := &cli.StringFlag{Name: flagFile, Required: true, Usage: "record, JSON with comments; - for standard input"}
+	subject := &cli.StringFlag{Name: flagSubject, Usage: "only this subject, such as workspace:market"}
+	return &cli.Command{
+		Name:  "config",
+		Usage: "check, publish and read configuration records",
+		Commands: []*cli.Command{
+			{Name: "lint", Usage: "check a record without publishing it", Flags: []cli.Flag{file}, Action: lintRecord},
+			{
+				Name:  "publish",
+				Usage: "publish a record and wait until it is in force on every live instance",
+				Flags: []cli.Flag{
+					platformFlag(), file, timeoutFlag(),
+					&cli.BoolFlag{Name: flagNoWait, Usage: "do not wait for the instances"},
+					&cli.BoolFlag{Name: flagRebase, Usage: "replace whatever is in force, instead of the base in the file"},
+				},
+				Action: publishRecord,
+			},
+			{Name: "show", Usage: "print the records in force", Flags: []cli.Flag{platformFlag(), subject, timeoutFlag()}, Action: showRecords},
+			{Name: "history", Usage: "print every retained record with its verdict", Flags: []cli.Flag{platformFlag(), subject, timeoutFlag()}, Action: showHistory},
+		},
+	}
+}
+
+// readRecord reads a record file. A missing record_id is made up.
+func readRecord(name string) (e acceptor.Envelope, err error) {
+	var text []byte
+	if name == "-" {
+		text, err = io.ReadAll(io.LimitReader(os.Stdin, acceptor.MaxRecordBytes+1))
+	} else {
+		text, err = os.ReadFile(name)
+	}
+	if err != nil {
+		return e, eris.Wrap(err, "read record")
+	}
+	plain, err := hujson.Standardize(text)
+	if err != nil {
+		return e, eris.Wrapf(err, "record %s", name)
+	}
+	if err = json.Unmarshal(plain, &e); err != nil {
+		return e, eris.Wrapf(err, "record %s", name)
+	}
+	if e.RecordID == "" {
+		e.RecordID = uuid.Must(uuid.NewV7()).String()
+	}
+	return e, nil
+}
+
+func checkRecord(e acceptor.Envelope) error {
+	data, err := json.Marshal(e)
+	if err != nil {
+		return eris.Wrap(err, "encode record")
+	}
+	if e, err = acceptor.ParseEnvelope(data); err != nil {
+		return err
+	}
+	return interpreter.Check(e)
+}
+
+func lintRecord(_ context.Context, cmd *cli.Command) error {
+	e, err := readRecord(cmd.String(flagFile))
+	if err != nil {
+		return err
+	}
+	if err = checkRecord(e); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(os.Stdout, "record for %s, schema version %d: no fault found\n", e.Subject, e.SchemaVersion)
+	return nil
+}
+
+func publishRecord(ctx context.Context, cmd *cli.Command) error {
+	e, err := readRecord(cmd.String(flagFile))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration(flagTimeout))
+	defer cancel()
+	client := platformclient.New(platformclient.Config{Address: cmd.String(flagPlatform)})
+	if cmd.Bool(flagRebase) {
+		if e.Base, err = currentOffset(ctx, client, e.Subject); err != nil {
+			return err
+		}
+	}
+	offset, err := publisher.Publish(ctx, client, e)
+	if err != nil {
+		return publishError(err)
+	}
+	_, _ = fmt.Fprintf(os.Stdout, "record %s for %s is accepted at offset %d\n", e.RecordID, e.Subject, offset)
+	if cmd.Bool(flagNoWait) {
+		return nil
+	}
+	s, err := publisher.AwaitSpread(ctx, client, offset, func(s publisher.Spread) {
+		_, _ = fmt.Fprintf(os.Stdout, "in force on %d of %d live instances\n", len(s.InForce), len(s.InForce)+len(s.Lagging))
+	})
+	if err != nil {
+		return &exitError{code: exitLagging, cause: err}
+	}
+	_, _ = fmt.Fprintf(os.Stdout, "in force on all %d live instances\n", len(s.InForce))
+	return nil
+}
+
+func currentOffset(ctx context.Context, log provider.Log, subject string) (uint64, error) {
+	k, err := publisher.Load(ctx, log)
+	if err != nil {
+		return 0, err
+	}
+	current, _ := k.State.Subject(subject)
+	return current.Offset, nil
+}
+
+func publishError(err error) error {
+	var conflict *publisher.ConflictError
+	var unknown *publisher.UnknownError
+	switch {
+	case errors.As(err, &conflict):
+		return &exitError{code: exitConflict, cause: err}
+	case errors.As(err, &unknown):
+		return &exitError{code: exitUnknown, cause: err}
+	default:
+		return err
+	}
+}
+
+// shownRecord is a record in force as it is printed.
+type shownRecord struct {
+	Offset uint64            `json:"offset"`
+	Record acceptor.Envelope `json:"record"`
+}
+
+func showRecords(ctx context.Context, cmd *cli.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration(flagTimeout))
+	defer cancel()
+	k, err := publisher.Load(ctx, platformclient.New(platformclient.Config{Address: cmd.String(flagPlatform)}))
+	if err != nil {
+		return err
+	}
+	out := json.NewEncoder(os.Stdout)
+	for _, a := range k.State.Since(0) {
+		if s := cmd.String(flagSubject); s != "" && s != a.Envelope.Subject {
+			continue
+		}
+		if err = out.Encode(shownRecord{Offset: a.Offset, Record: a.Envelope}); err != nil {
+			return eris.Wrap(err, "print record")
+		}
+	}
+	return nil
+}
+
+func showHistory(ctx context.Context, cmd *cli.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration(flagTimeout))
+	defer cancel()
+	client := platformclient.New(platformclient.Config{Address: cmd.String(flagPlatform)})
+	return publisher.History(ctx, client, func(o acceptor.Outcome, at time.Time, author string) {
+		if s := cmd.String(flagSubject); s != "" && s != o.Subject {
+			return
+		}
+		_, _ = fmt.Fprintf(os.Stdout, "%d  %s  %-9s  %s  %s  by %q  %s\n",
+			o.Offset, at.UTC().Format(time.RFC3339), o.Verdict, o.Subject, o.RecordID, author, o.Problem)
+	})
+}
--- /dev/null
+++ b/cmd/flamingoledge/processes_test.go
@@ -0,0 +1,310 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"flamingoledge.org/flamingoledge/internal/caller"
+	"flamingoledge.org/flamingoledge/internal/emulator"
+	"flamingoledge.org/flamingoledge/internal/entryserver"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "flamingoledge")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "flamingoledge")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// cluster is a system of separate processes on loopback.
+type cluster struct {
+	t        *testing.T
+	dir      string
+	platform string
+	entries  []string
+	procs    map[string]*exec.Cmd
+	standins map[string]string
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	return lis.Addr().String()
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{t: t, dir: t.TempDir(), platform: freeAddress(t), procs: map[string]*exec.Cmd{}, standins: map[string]string{}}
+	t.Cleanup(func() {
+		for _, p := range c.procs {
+			_ = p.Process.Kill()
+			_ = p.Wait()
+		}
+	})
+	c.start("platform", []string{"standin", "platform"}, fmt.Sprintf(`{"listen_address": %q}`, c.platform))
+	return c
+}
+
+// start starts a process with settings; without settings, as it was before.
+func (c *cluster) start(name string, command []string, settings string) {
+	c.t.Helper()
+	file := filepath.Join(c.dir, name+".jsonc")
+	if settings != "" {
+		if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	log, err := os.OpenFile(filepath.Join(c.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	p := exec.Command(binary, append(command, "--settings", file)...)
+	p.Stderr = log
+	if err := p.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	c.procs[name] = p
+}
+
+func (c *cluster) entry(name string) {
+	http := freeAddress(c.t)
+	c.entries = append(c.entries, http)
+	c.start(name, []string{"entry"}, fmt.Sprintf(`{
+		"instance": {"name": %q, "availability_zone": "a-1", "region": "a"},
+		"platform": %q, "listen_address": "127.0.0.1:0", "http_address": %q,
+	}`, name, c.platform, http))
+}
+
+func (c *cluster) endpoint(name, service string) {
+	address := freeAddress(c.t)
+	c.standins[name] = address
+	c.start(name+"-standin", []string{"standin", "endpoint"}, fmt.Sprintf(
+		`{"name": %q, "listen_address": %q, "checks_fencing": true, "first_token_ms": 5, "token_interval_ms": 5}`, name, address))
+	c.start(name, []string{"sidecar"}, fmt.Sprintf(`{
+		"instance": {"name": %q, "availability_zone": "a-1", "region": "a"},
+		"platform": %q, "listen_address": "127.0.0.1:0", "service": %q, "endpoint": %q, "origin_region": "a",
+	}`, name, c.platform, service, address))
+}
+
+// runs counts the runs of a key in the endpoint's own history.
+func (c *cluster) runs(endpoint, key string) (n int) {
+	c.t.Helper()
+	_, body, err := fasthttp.Get(nil, "http://"+c.standins[endpoint]+"/admin/history")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	var history []emulator.Run
+	if err = json.Unmarshal(body, &history); err != nil {
+		c.t.Fatal(err)
+	}
+	for _, r := range history {
+		if r.IdempotencyKey == key {
+			n++
+		}
+	}
+	return n
+}
+
+// run runs a tool and returns its output and exit code.
+func (c *cluster) run(args ...string) (string, int) {
+	out, err := exec.Command(binary, args...).CombinedOutput()
+	var ee *exec.ExitError
+	if errors.As(err, &ee) {
+		return string(out), ee.ExitCode()
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return string(out), 0
+}
+
+func (c *cluster) publish(record string) (string, int) {
+	c.t.Helper()
+	file := filepath.Join(c.dir, "record.jsonc")
+	if err := os.WriteFile(file, []byte(record), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return c.run("config", "publish", "--platform", c.platform, "--file", file)
+}
+
+func (c *cluster) mustPublish(record string) {
+	c.t.Helper()
+	if out, code := c.publish(record); code != 0 {
+		c.t.Fatalf("publish: exit code %d: %s", code, out)
+	}
+}
+
+func (c *cluster) bootstrap() {
+	c.t.Helper()
+	c.entry("entry-1")
+	c.entry("entry-2")
+	c.endpoint("engine-1", "engine")
+	c.endpoint("engine-2", "engine")
+	c.endpoint("orders-1", "orders")
+	weights := filepath.Join(c.dir, "weights")
+	if err := os.WriteFile(weights, bytes.Repeat([]byte("weights!"), 64<<10), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	c.eventually("weights are stored", func() bool {
+		_, code := c.run("weights", "put", "--platform", c.platform, "--file", weights, "--model", "notes", "--version", "v1", "--chunk-bytes", "16384")
+		return code == 0
+	})
+	out, _ := c.run("weights", "put", "--platform", c.platform, "--file", weights, "--model", "notes", "--version", "v1", "--chunk-bytes", "16384")
+	c.mustPublish(`{"schema_version": 1, "subject": "service:engine", "base": 0, "body": {"kind": "model", "idempotent": true,
+		"endpoint_concurrency": 8, "models_per_endpoint": 1, "default_deadline_ms": 5000}}`)
+	c.mustPublish(`{"schema_version": 1, "subject": "service:orders", "base": 0, "body": {"kind": "plain", "idempotent": false,
+		"endpoint_concurrency": 8, "default_deadline_ms": 5000}}`)
+	c.mustPublish(fmt.Sprintf(`{"schema_version": 1, "subject": "model:notes", "base": 0, "body": {"service": "engine", "version_digest": %q,
+		"prefer": "time", "min_replicas": 2, "max_replicas": 2, "origin_copies": 2}}`, strings.TrimSpace(out)))
+	c.mustPublish(`{"schema_version": 2, "subject": "workspace:market", "base": 0, "body": {"weight": 1, "priority": 0,
+		"routes": [{"service": "engine", "model": "notes"}, {"service": "orders"}]}}`)
+}
+
+func (c *cluster) eventually(what string, ok func() bool) {
+	c.t.Helper()
+	for range 150 {
+		if ok() {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.t.Fatal("not in time: " + what)
+}
+
+func ask(c *caller.Caller, entry string, tokens int) (caller.Reply, error) {
+	body, _ := json.Marshal(emulator.Prompt{Prompt: "summarise the account", Tokens: tokens})
+	return c.Do(context.Background(), caller.Request{Entry: entry, Workspace: "market", Service: "engine", Deadline: 5 * time.Second, Body: body})
+}
+
+func order(c *caller.Caller, entry, key string) (caller.Reply, error) {
+	return c.Do(context.Background(), caller.Request{
+		Entry: entry, Workspace: "market", Service: "orders", IdempotencyKey: key, Deadline: 3 * time.Second, Body: []byte(`{"planks":1}`),
+	})
+}
+
+func answered(r caller.Reply, err error) bool {
+	return err == nil && r.Whole && r.Outcome == entryserver.OutcomeAnswered
+}
+
+func TestSeparateProcesses(t *testing.T) {
+	c := newCluster(t)
+	c.bootstrap()
+	calls := caller.New(caller.Config{MaxConnections: 64})
+	for _, entry := range c.entries {
+		c.eventually("model answers over "+entry, func() bool { return answered(ask(calls, entry, 5)) })
+		c.eventually("orders answers over "+entry, func() bool { return answered(order(calls, entry, uuid.Must(uuid.NewV7()).String())) })
+	}
+
+	t.Run("a losing operator is told the winner", func(t *testing.T) {
+		is := is.New(t)
+		out, code := c.publish(`{"schema_version": 1, "subject": "workspace:market", "base": 0, "body": {"weight": 1, "priority": 0,
+			"routes": [{"service": "orders"}]}}`)
+		is.Equal(code, 2)
+		is.True(strings.Contains(out, "offset 4 is in force"))
+	})
+
+	t.Run("status shows every instance", func(t *testing.T) {
+		is := is.New(t)
+		out, code := c.run("status", "--platform", c.platform)
+		is.Equal(code, 0)
+		for _, name := range []string{"entry-1", "entry-2", "engine-1", "engine-2", "orders-1", "serving"} {
+			is.True(strings.Contains(out, name))
+		}
+	})
+
+	t.Run("a stopping entry and sidecar cut no request off", func(t *testing.T) {
+		is := is.New(t)
+		const callers = 16
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		cut := 0
+		for range callers {
+			wg.Go(func() {
+				reply, err := ask(calls, c.entries[1], 100)
+				mu.Lock()
+				defer mu.Unlock()
+				if !answered(reply, err) && reply.Outcome != entryserver.OutcomeNotRun {
+					cut++
+				}
+			})
+		}
+		time.Sleep(200 * time.Millisecond)
+		for _, name := range []string{"entry-2", "engine-2"} {
+			is.NoErr(c.procs[name].Process.Signal(syscall.SIGTERM))
+		}
+		wg.Wait()
+		is.Equal(cut, 0)
+		for _, name := range []string{"entry-2", "engine-2"} {
+			is.NoErr(c.procs[name].Wait()) // exit code 0
+			delete(c.procs, name)
+		}
+	})
+
+	t.Run("a key claimed by a killed sidecar never runs again", func(t *testing.T) {
+		is := is.New(t)
+		key := uuid.Must(uuid.NewV7()).String()
+		is.True(answered(order(calls, c.entries[0], key)))
+		is.NoErr(c.procs["orders-1"].Process.Kill())
+		_ = c.procs["orders-1"].Wait()
+		c.start("orders-1", []string{"sidecar"}, "")
+		c.eventually("new sidecar answers", func() bool {
+			return answered(order(calls, c.entries[0], uuid.Must(uuid.NewV7()).String()))
+		})
+		reply, err := order(calls, c.entries[0], key)
+		is.NoErr(err)
+		// The record that the run was answered may have died with the sidecar;
+		// then the outcome is unknown.
+		is.True(reply.Code == entryserver.CodeRanAnswerLost || reply.Code == entryserver.CodeOutcomeUnknown)
+		is.Equal(c.runs("orders-1", key), 1)
+	})
+}
+
+func TestBadSettingsNameTheLine(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "entry.jsonc")
+	is.NoErr(os.WriteFile(file, []byte("{\n  // a comment\n  \"sevice\": \"127.0.0.1:1\"\n}"), 0o600))
+	out, err := exec.Command(binary, "entry", "--settings", file).CombinedOutput()
+	is.True(err != nil)
+	is.True(strings.Contains(string(out), "entry.jsonc:3: field sevice: is not known"))
+}
+
+func TestGeneratedPagesAreCurrent(t *testing.T) {
+	for name, command := range map[string]string{"EVENTS.md": "events", "COMMANDS.md": "commands"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			want, err := exec.Command(binary, "docs", command).Output()
+			is.NoErr(err)
+			got, err := os.ReadFile(filepath.Join("..", "..", "docs", name))
+			is.NoErr(err)
+			is.Equal(string(got), string(want)) // write it again with: flamingoledge docs
+		})
+	}
+}
--- a/internal/demonstrator/load.go
+++ b/internal/demonstrator/load.go
@@ -91,7 +91,7 @@
 		return
 	}
 	reply, err := l.caller.Do(context.Background(), caller.Request{
-		Entry: entry, Workspace: workspaceName(id % workspaces), Service: s.Name, Deadline: callDeadline, Body: body,
+		Entry: entry, Workspace: deployer.WorkspaceName(id), Service: s.Name, Deadline: callDeadline, Body: body,
 	})
 	own := err != nil || !reply.Whole || l.isOwnAnswer(reply, body)
 	l.count(reply, own)
@@ -122,7 +122,7 @@
 	for _, e := range []string{entry, other} {
 		wg.Go(func() {
 			reply, err := l.caller.Do(context.Background(), caller.Request{
-				Entry: e, Workspace: workspaceName(id % workspaces), Service: s.Name, IdempotencyKey: key, Deadline: callDeadline, Body: body,
+				Entry: e, Workspace: deployer.WorkspaceName(id), Service: s.Name, IdempotencyKey: key, Deadline: callDeadline, Body: body,
 			})
 			l.count(reply, err != nil || !reply.Whole || isOwnCall(reply, body))
 		})
--- a/internal/demonstrator/table.go
+++ b/internal/demonstrator/table.go
@@ -4,21 +4,8 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
-
-	"flamingoledge.org/flamingoledge/internal/entryserver"
 )
 
-func serving(st entryserver.Status, digest string) (n int) {
-	for _, sc := range st.Sidecars {
-		for _, v := range sc.Versions {
-			if v.Serving && v.VersionDigest == digest {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // WriteTable writes a report for people.
 func WriteTable(w io.Writer, r Report) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
--- a/internal/deployer/deployment.go
+++ b/internal/deployer/deployment.go
@@ -75,7 +75,7 @@
 
 // Start starts a deployment.
 func Start(ctx context.Context, t Topology, o Options) (d *Deployment, err error) {
-	d = &Deployment{Topology: t, options: o, Network: newNetwork(t.Links, t.Regions[0])}
+	d = &Deployment{Topology: t, options: o, Network: NewNetwork(t.Links, t.Regions[0])}
 	d.ctx, d.stop = context.WithCancel(ctx)
 	if err = d.start(); err != nil {
 		d.Stop()
@@ -150,7 +150,7 @@
 }
 
 // client returns a platform client whose connections cross the instance's links.
-func (d *Deployment) client(p place) *platformclient.Client {
+func (d *Deployment) client(p Place) *platformclient.Client {
 	return platformclient.New(platformclient.Config{
 		Address: d.PlatformAddress,
 		Dial: func(address string) (net.Conn, error) {
@@ -158,14 +158,14 @@
 			if err != nil {
 				return nil, err
 			}
-			return d.Network.wrap(p, conn, address), nil
+			return d.Network.Wrap(p, conn, address), nil
 		},
 	})
 }
 
-func (d *Deployment) dialer(p place) *connector.Dialer {
+func (d *Deployment) dialer(p Place) *connector.Dialer {
 	return &connector.Dialer{Wrap: func(conn net.Conn, address string) net.Conn {
-		return d.Network.wrap(p, conn, address)
+		return d.Network.Wrap(p, conn, address)
 	}}
 }
 
@@ -190,8 +190,8 @@
 		return err
 	}
 	p := &Process{Name: name, Region: region, Address: control.Addr().String(), HTTPAddress: http.Addr().String()}
-	at := place{instance: name, region: region}
-	d.Network.add(p.Address, at)
+	at := Place{Instance: name, Region: region}
+	d.Network.Add(p.Address, at)
 	client := d.client(at)
 	cfg := entryserver.Config{
 		Instance:          name,
@@ -260,8 +260,8 @@
 		return err
 	}
 	p := &Process{Name: e.Name, Region: e.Region, Address: lis.Addr().String()}
-	at := place{instance: e.Name, region: e.Region}
-	d.Network.add(p.Address, at)
+	at := Place{Instance: e.Name, Region: e.Region}
+	d.Network.Add(p.Address, at)
 	client := d.client(at)
 	cfg := sidecarserver.Config{
 		Instance:          e.Name,
--- a/internal/deployer/network.go
+++ b/internal/deployer/network.go
@@ -7,9 +7,10 @@
 	"flamingoledge.org/flamingoledge/internal/shaper"
 )
 
-type place struct {
-	instance string
-	region   string
+// Place is where an instance is.
+type Place struct {
+	Instance string
+	Region   string
 }
 
 type regionPair struct {
@@ -21,39 +22,40 @@
 	links Links
 
 	mu        sync.Mutex
-	places    map[string]place
+	places    map[string]Place
 	up, down  map[string]*shaper.Link
 	regions   map[regionPair]*shaper.Link
 	cut       map[regionPair]bool
 	tracked   map[*trackedConn]struct{}
-	homeplace place
+	homeplace Place
 }
 
-func newNetwork(links Links, home string) *Network {
+// NewNetwork returns a network whose platform is in the home region.
+func NewNetwork(links Links, home string) *Network {
 	return &Network{
 		links:     links,
-		places:    map[string]place{},
+		places:    map[string]Place{},
 		up:        map[string]*shaper.Link{},
 		down:      map[string]*shaper.Link{},
 		regions:   map[regionPair]*shaper.Link{},
 		cut:       map[regionPair]bool{},
 		tracked:   map[*trackedConn]struct{}{},
-		homeplace: place{instance: "platform", region: home},
+		homeplace: Place{Instance: "platform", Region: home},
 	}
 }
 
-// add puts an instance on the network.
-func (n *Network) add(address string, p place) {
+// Add puts an instance on the network.
+func (n *Network) Add(address string, p Place) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.places[address] = p
-	if n.links.Instance == 0 || n.up[p.instance] != nil {
+	if n.links.Instance == 0 || n.up[p.Instance] != nil {
 		return
 	}
-	n.up[p.instance] = shaper.NewLink(n.links.Instance)
-	n.down[p.instance] = n.up[p.instance]
+	n.up[p.Instance] = shaper.NewLink(n.links.Instance)
+	n.down[p.Instance] = n.up[p.Instance]
 	if !n.links.InstanceShared {
-		n.down[p.instance] = shaper.NewLink(n.links.Instance)
+		n.down[p.Instance] = shaper.NewLink(n.links.Instance)
 	}
 }
 
@@ -85,13 +87,13 @@
 }
 
 // isCut tells whether two places can't reach each other; the caller holds mu.
-func (n *Network) isCut(a, b place) bool {
-	return n.cut[regionPair{from: a.region, to: b.region}]
+func (n *Network) isCut(a, b Place) bool {
+	return n.cut[regionPair{from: a.Region, to: b.Region}]
 }
 
-// wrap limits a connection from one place to an address. It returns a closed
+// Wrap limits a connection from one place to an address. It returns a closed
 // connection when the way is cut.
-func (n *Network) wrap(from place, conn net.Conn, address string) net.Conn {
+func (n *Network) Wrap(from Place, conn net.Conn, address string) net.Conn {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	to, ok := n.places[address]
@@ -102,8 +104,8 @@
 		_ = conn.Close()
 		return conn
 	}
-	in := []*shaper.Link{n.up[to.instance], n.regionLink(to.region, from.region), n.down[from.instance]}
-	out := []*shaper.Link{n.up[from.instance], n.regionLink(from.region, to.region), n.down[to.instance]}
+	in := []*shaper.Link{n.up[to.Instance], n.regionLink(to.Region, from.Region), n.down[from.Instance]}
+	out := []*shaper.Link{n.up[from.Instance], n.regionLink(from.Region, to.Region), n.down[to.Instance]}
 	tc := &trackedConn{Conn: shaper.Wrap(conn, distinct(in), distinct(out)), network: n, from: from, to: to}
 	n.tracked[tc] = struct{}{}
 	return tc
@@ -143,7 +145,7 @@
 type trackedConn struct {
 	net.Conn
 	network  *Network
-	from, to place
+	from, to Place
 }
 
 // Close implements net.Conn.
--- a/internal/emulator/http.go
+++ b/internal/emulator/http.go
@@ -8,6 +8,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"flamingoledge.org/flamingoledge/internal/logger"
 )
 
 const shutdownTimeout = 200 * time.Millisecond
@@ -19,6 +21,7 @@
 		Handler:               h,
 		MaxRequestBodySize:    maxRequestBytes,
 		NoDefaultServerHeader: true,
+		Logger:                logger.Quiet{},
 		CloseOnShutdown:       true,
 		StreamRequestBody:     streamBodies,
 	}
--- /dev/null
+++ b/internal/monitor/monitor.go
@@ -0,0 +1,47 @@
+// Package monitor serves a process's metrics on its admin address, in the form
+// of expvar: the process's own counters beside the run time's memory figures.
+package monitor
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	pathVars        = "/debug/vars"
+	shutdownTimeout = 100 * time.Millisecond
+)
+
+// Serve serves the counters on address until ctx ends. An empty address serves
+// nothing.
+func Serve(ctx context.Context, address string, counters *expvar.Map) error {
+	if address == "" {
+		return nil
+	}
+	lis, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "admin address")
+	}
+	server := &fasthttp.Server{NoDefaultServerHeader: true, Handler: func(rc *fasthttp.RequestCtx) {
+		if string(rc.Path()) != pathVars {
+			rc.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		rc.SetContentType("application/json")
+		_, _ = fmt.Fprintf(rc, "{%q: %s, %q: %s}\n", "flamingoledge", counters, "memstats", expvar.Get("memstats"))
+	}}
+	defer context.AfterFunc(ctx, func() { shutDown(server) })()
+	return eris.Wrap(server.Serve(lis), "serve metrics")
+}
+
+func shutDown(server *fasthttp.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	_ = server.ShutdownWithContext(ctx)
+}
--- a/internal/sidecarserver/rollout.go
+++ b/internal/sidecarserver/rollout.go
@@ -111,7 +111,9 @@
 		}
 		f.cancel()
 		delete(r.fetches, version)
-		r.server.board.Post(versionDropped{versionDigest: version})
+		if !r.server.guard.isAllowed(version) {
+			r.server.board.Post(versionDropped{versionDigest: version})
+		}
 	}
 	if complete && len(wanted) > 0 {
 		r.server.store.Keep(wanted)
@@ -179,7 +181,8 @@
 
 // load streams the weights to the endpoint and orders it to load them.
 func (r *rollout) load(ctx context.Context, v *state, d desiredVersion, f *fetch, st endpointclient.State) {
-	if len(st.Loaded) >= st.Slots && !r.makeRoom(ctx, v, d, st) {
+	if len(st.Loaded) >= st.Slots {
+		r.makeRoom(ctx, v, d, st)
 		return
 	}
 	if _, err := r.server.lease.check(time.Now()); err != nil {
@@ -196,9 +199,9 @@
 	}, d.recordOffset)
 }
 
-// makeRoom unloads a version that is not intended, the previous one last. It
-// returns true when there is room.
-func (r *rollout) makeRoom(ctx context.Context, v *state, d desiredVersion, st endpointclient.State) bool {
+// makeRoom unloads a version that is not intended, the previous one last. A later
+// step finds the room.
+func (r *rollout) makeRoom(ctx context.Context, v *state, d desiredVersion, st endpointclient.State) {
 	intended := map[string]struct{}{}
 	for _, other := range v.desired {
 		intended[other.versionDigest] = struct{}{}
@@ -212,14 +215,10 @@
 			victim = l.VersionDigest
 		}
 	}
-	if victim == "" {
-		return false
-	}
-	if r.server.guard.isAllowed(victim) && !r.mayGiveUp(v, d) {
-		return false
+	if victim == "" || (r.server.guard.isAllowed(victim) && !r.mayGiveUp(v, d)) {
+		return
 	}
 	r.unload(ctx, victim, "makes room for "+d.versionDigest)
-	return false
 }
 
 // unload drains a version and orders the endpoint to drop it, in several steps
@@ -237,7 +236,12 @@
 		return
 	}
 	logger.Log(r.server.cfg.Logger, logger.VersionWithdrawn, zap.String("version_digest", version), zap.String("reason", reason))
-	held := r.server.board.View().held[version]
+	v := r.server.board.View()
+	if !v.wants(version) {
+		r.server.board.Post(versionDropped{versionDigest: version})
+		return
+	}
+	held := v.held[version]
 	held.serving = false
 	r.server.board.Post(versionProgressed{versionDigest: version, held: held})
 }
--- a/internal/sidecarserver/state.go
+++ b/internal/sidecarserver/state.go
@@ -34,6 +34,16 @@
 	serving map[string]int
 }
 
+// wants tells whether a version is to be served here.
+func (s *state) wants(versionDigest string) bool {
+	for _, d := range s.desired {
+		if d.versionDigest == versionDigest {
+			return true
+		}
+	}
+	return false
+}
+
 // desiredVersion is a version that this endpoint is to serve.
 type desiredVersion struct {
 	model         string
@@ -60,7 +70,6 @@
 
 // Events of the blackboard.
 type (
-	pageRead       struct{ page provider.Page }
 	updateReceived struct{ update *messenger.Update }
 	instancesRead  struct{ instances []provider.Instance }
 	endpointProbed struct {
