Pace transfers below the links, and tell thin links only of wanted chunks

(2) Transfers filled the instances' links, and live requests queued behind them. Change: a peer names the chunks it wants to hear of; spare upstreams are only connected to when there is no progress; sidecars pace what they send and ask for to 80% of a link whose rate the settings give while requests run.

--- a/cmd/flamingoledge/cmds/roles.go
+++ b/cmd/flamingoledge/cmds/roles.go
@@ -172,6 +172,8 @@
 	}
 	transfer := sidecarserver.DefaultTransfer()
 	transfer.Neighbors = set.Neighbors
+	transfer.LinkBytesPerSecond = set.LinkBytesPerSecond
+	transfer.RegionBytesPerSecond = set.RegionBytesPerSecond
 	s, err := sidecarserver.New(sidecarserver.Config{
 		Instance:          set.Instance.Name,
 		AvailabilityZone:  set.Instance.AvailabilityZone,
--- a/cmd/flamingoledge/processes_test.go
+++ b/cmd/flamingoledge/processes_test.go
@@ -290,10 +290,10 @@
 func TestBadSettingsNameTheLine(t *testing.T) {
 	is := is.New(t)
 	file := filepath.Join(t.TempDir(), "entry.jsonc")
-	is.NoErr(os.WriteFile(file, []byte("{\n  // a comment\n  \"sevice\": \"127.0.0.1:1\"\n}"), 0o600))
+	is.NoErr(os.WriteFile(file, []byte("{\n  // a comment\n  \"unknown_thing\": \"127.0.0.1:1\"\n}"), 0o600))
 	out, err := exec.Command(binary, "entry", "--settings", file).CombinedOutput()
 	is.True(err != nil)
-	is.True(strings.Contains(string(out), "entry.jsonc:3: field sevice: is not known"))
+	is.True(strings.Contains(string(out), "entry.jsonc:3: field unknown_thing: is not known"))
 }
 
 func TestGeneratedPagesAreCurrent(t *testing.T) {
--- a/internal/configurator/settings.go
+++ b/internal/configurator/settings.go
@@ -72,9 +72,14 @@
 	ClockSkewMillis   int `json:"clock_skew_ms"`
 	// ChunkCopies is how many copies of a version's chunks are held in memory
 	// to be served to others; the program needs 1.
-	ChunkCopies       int `json:"chunk_copies"`
-	Neighbors         int `json:"neighbors"`
-	TrafficGoroutines int `json:"traffic_goroutines"`
+	ChunkCopies int `json:"chunk_copies"`
+	Neighbors   int `json:"neighbors"`
+	// LinkBytesPerSecond is the rate of the instance's link in each direction,
+	// RegionBytesPerSecond that of the link between two regions. Transfers are
+	// paced below them; 0 means not known.
+	LinkBytesPerSecond   float64 `json:"link_bytes_per_second,omitempty"`
+	RegionBytesPerSecond float64 `json:"region_bytes_per_second,omitempty"`
+	TrafficGoroutines    int     `json:"traffic_goroutines"`
 }
 
 // Platform are the settings of the platform's stand-in.
@@ -110,6 +115,8 @@
 	maxBodyBytes  = 8 << 20
 	maxNeighbors  = 256
 	maxOvercommit = 100
+	// maxRate is in bytes per second.
+	maxRate = 1e12
 )
 
 // Check implements Checker.
@@ -167,6 +174,8 @@
 		checkRange("clock_skew_ms", s.ClockSkewMillis, 1, maxMillis),
 		checkRange("chunk_copies", s.ChunkCopies, 1, 1),
 		checkRange("neighbors", s.Neighbors, 1, maxNeighbors),
+		checkShare("link_bytes_per_second", s.LinkBytesPerSecond, maxRate),
+		checkShare("region_bytes_per_second", s.RegionBytesPerSecond, maxRate),
 		checkRange("traffic_goroutines", s.TrafficGoroutines, 1, maxCount),
 	)
 }
--- a/internal/deployer/deployment.go
+++ b/internal/deployer/deployment.go
@@ -287,6 +287,8 @@
 		NewestSchema:      interpreter.SchemaNewest,
 		Transfer:          sidecarserver.DefaultTransfer(),
 	}
+	cfg.Transfer.LinkBytesPerSecond = d.Topology.Links.Instance
+	cfg.Transfer.RegionBytesPerSecond = d.Topology.Links.Region
 	if d.options.Sidecar != nil {
 		d.options.Sidecar(&cfg)
 	}
--- a/internal/deployer/network.go
+++ b/internal/deployer/network.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"flamingoledge.org/flamingoledge/internal/shaper"
 )
@@ -69,6 +70,17 @@
 	return 0
 }
 
+// Stall lets nothing pass an instance's link until a time.
+func (n *Network) Stall(instance string, until time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range []*shaper.Link{n.up[instance], n.down[instance]} {
+		if l != nil {
+			l.Stall(until)
+		}
+	}
+}
+
 // Cut cuts or mends the links between two regions, both ways.
 func (n *Network) Cut(a, b string, cut bool) {
 	n.mu.Lock()
--- /dev/null
+++ b/internal/measurer/baselines.go
@@ -0,0 +1,133 @@
+package measurer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"flamingoledge.org/flamingoledge/internal/messenger"
+)
+
+// baselineInstances is few, because a baseline takes that many times longer.
+const baselineInstances = 16
+
+// measureBaselines distributes the same version in the two plain ways: everyone
+// from the origin, and along a chain.
+func measureBaselines(ctx context.Context, cfg Config, r *Report) error {
+	sc := cfg.scaled(oneRegion(baselineInstances, true, cfg.Seed))
+	if cfg.Quick {
+		sc.weightsBytes /= quickDivisor
+		sc.window /= quickDivisor
+	}
+	ours, err := distribute(ctx, cfg, sc)
+	if err != nil {
+		return err
+	}
+	everyone, err := baseline(ctx, sc, fetchAllFromOrigin)
+	if err != nil {
+		return err
+	}
+	chain, err := baseline(ctx, sc, fetchAlongChain)
+	if err != nil {
+		return err
+	}
+	r.add("baseline_everyone_from_origin_seconds", everyone.taken.Seconds(), "s", Lower)
+	r.add("baseline_everyone_from_origin_copies", everyone.copies, "copies", Lower)
+	r.add("baseline_chain_seconds", chain.taken.Seconds(), "s", Lower)
+	r.add("baseline_chain_copies", chain.copies, "copies", Lower)
+	r.add("sixteen_instances_seconds", ours.taken.Seconds(), "s", Lower).against(everyone.taken.Seconds())
+	r.add("sixteen_instances_copies", ours.copies, "copies", Lower).against(everyone.copies)
+	r.add("sixteen_instances_seconds_against_chain", ours.taken.Seconds(), "s", Lower).against(chain.taken.Seconds())
+	return nil
+}
+
+// baseline runs fetch on every node of a swarm at once.
+func baseline(ctx context.Context, sc swarmConfig, fetch func(ctx context.Context, n *node, i int) error) (d distribution, err error) {
+	s, err := newSwarm(ctx, sc)
+	if err != nil {
+		return d, err
+	}
+	defer s.close()
+	started := time.Now()
+	errs := make([]error, len(s.nodes))
+	var wg sync.WaitGroup
+	for i, n := range s.nodes {
+		wg.Go(func() { errs[i] = fetch(ctx, n, i) })
+	}
+	wg.Wait()
+	for _, err = range errs {
+		if err != nil {
+			return d, err
+		}
+	}
+	return distribution{taken: time.Since(started), copies: s.originCopies(), swarm: s}, nil
+}
+
+func fetchAllFromOrigin(ctx context.Context, n *node, _ int) error {
+	origin := n.origin()
+	m := n.swarm.manifest
+	for i := range m.Chunks {
+		buf := make([]byte, m.ChunkLen(i))
+		if err := origin.ReadAt(ctx, m.WeightsDigest, m.ChunkOffset(i), buf); err != nil {
+			return err
+		}
+		if _, err := n.assembly.Put(i, buf); err != nil {
+			return err
+		}
+	}
+	return n.assembly.VerifyWhole()
+}
+
+// fetchAlongChain takes each chunk from the node before, in order, as soon as
+// that has it; the first node takes it from the origin.
+func fetchAlongChain(ctx context.Context, n *node, i int) error {
+	if i == 0 {
+		return fetchAllFromOrigin(ctx, n, i)
+	}
+	conn, err := n.dial(ctx, n.swarm.nodes[i-1].member.Instance)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := messenger.NewDRPCTransferClient(conn).Exchange(ctx)
+	if err != nil {
+		return err
+	}
+	if err = stream.Send(&messenger.ChunkRequest{VersionDigest: n.swarm.digest, Instance: n.member.Instance}); err != nil {
+		return err
+	}
+	return receiveChain(n, stream)
+}
+
+func receiveChain(n *node, stream messenger.DRPCTransfer_ExchangeClient) error {
+	held := map[uint32]bool{}
+	asked := uint32(0)
+	for !n.assembly.Complete() {
+		reply, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if len(reply.GetData()) > 0 {
+			if _, err = n.assembly.Put(int(reply.GetIndex()), reply.GetData()); err != nil {
+				return err
+			}
+		}
+		for _, i := range reply.GetGained() {
+			held[i] = true
+		}
+		req := &messenger.ChunkRequest{}
+		for held[asked] {
+			req.Indexes = append(req.Indexes, asked)
+			asked++
+		}
+		if len(req.GetIndexes()) == 0 {
+			continue
+		}
+		if err = stream.Send(req); err != nil {
+			return eris.Wrap(err, "ask the node before")
+		}
+	}
+	return n.assembly.VerifyWhole()
+}
--- a/internal/measurer/swarm.go
+++ b/internal/measurer/swarm.go
@@ -1,11 +1,13 @@
 package measurer
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/bits"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,8 +52,8 @@
 	takeover    time.Duration
 	seed        uint64
 	timeout     time.Duration
-	// weights, if set, are taken instead of generated ones.
-	weights []byte
+	// corrupt is the share of chunks that nodes send with a flipped byte.
+	corrupt float64
 }
 
 const (
@@ -78,12 +80,19 @@
 		// Every copy but the one from the origin is sent by an instance.
 		bytes *= (2*n - 1) / n
 	}
-	doublings := float64(bits.Len(uint(c.instances() - 1)))
-	chunk := float64(c.chunkBytes)
-	seconds := bytes/c.instanceRate() + chunk/c.originRate() + doublings*chunk/c.instanceRate()
-	return time.Duration(seconds * float64(time.Second))
+	seconds := bytes/c.instanceRate() + float64(c.chunkBytes)/c.originRate()
+	return time.Duration(seconds*float64(time.Second)) + c.spread()
+}
+
+// spread is the time in which one chunk doubles its holders until every instance
+// of a region has it.
+func (c swarmConfig) spread() time.Duration {
+	doublings := float64(bits.Len(uint(c.perRegion - 1)))
+	return time.Duration(doublings * float64(c.chunkBytes) / c.instanceRate() * float64(time.Second))
 }
 
+func count(n int) string { return strconv.Itoa(n) }
+
 // swarm is a running distribution.
 type swarm struct {
 	cfg      swarmConfig
@@ -93,11 +102,27 @@
 	address  string
 	digest   string
 	manifest chunker.Manifest
-	pool     *ants.Pool
-	nodes    []*node
-	members  []planner.Member
-	stop     context.CancelFunc
-	wg       sync.WaitGroup
+	// weights are the bytes that every instance is to hold in the end.
+	weights []byte
+	pool    *ants.Pool
+	nodes   []*node
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
+
+	mu      sync.Mutex
+	members []planner.Member
+}
+
+func (s *swarm) setMembers(members []planner.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members = members
+}
+
+func (s *swarm) currentMembers() []planner.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members
 }
 
 // node is one instance of a swarm.
@@ -109,11 +134,13 @@
 	assembly *assembler.Assembly
 	transfer *transferrer.Transfer
 	cancel   context.CancelFunc
-	// corrupt is the share of chunks that the node sends with a flipped byte.
-	corrupt  float64
 	done     atomic.Bool
 	finished time.Duration
-	stats    transferrer.Stats
+
+	mu sync.Mutex
+	// abort ends the running transfer.
+	abort context.CancelFunc
+	dead  bool
 }
 
 func generated(n int, seed uint64) []byte {
@@ -155,18 +182,22 @@
 	s.platform = emulator.NewPlatform(emulator.PlatformConfig{Seed: s.cfg.seed, OriginLink: shaper.NewLink(s.cfg.originRate())})
 	s.wg.Go(func() { _ = s.platform.Serve(ctx, lis) })
 	s.client = platformclient.New(platformclient.Config{Address: s.address})
-	weights := s.cfg.weights
-	if weights == nil {
-		weights = generated(s.cfg.weightsBytes, s.cfg.seed)
-	}
-	if s.digest, err = publisher.PutVersion(ctx, s.client, "measured", "v", weights, s.cfg.chunkBytes); err != nil {
+	return s.putVersion(ctx, generated(s.cfg.weightsBytes, s.cfg.seed))
+}
+
+// putVersion stores a version; later transfers distribute it.
+func (s *swarm) putVersion(ctx context.Context, weights []byte) error {
+	digest, err := publisher.PutVersion(ctx, s.client, "measured", "v", weights, s.cfg.chunkBytes)
+	if err != nil {
 		return err
 	}
-	data, err := s.client.Manifest(ctx, s.digest)
+	data, err := s.client.Manifest(ctx, digest)
 	if err != nil {
 		return err
 	}
-	s.manifest, err = chunker.ParseManifest(data, s.digest)
+	s.digest = digest
+	s.weights = weights
+	s.manifest, err = chunker.ParseManifest(data, digest)
 	return err
 }
 
@@ -176,11 +207,10 @@
 		return eris.Wrap(err, "listen")
 	}
 	n := &node{swarm: s, member: m, address: lis.Addr().String(), store: transferrer.NewStore()}
-	n.assembly = assembler.New(s.digest, s.manifest)
-	n.store.Put(n.assembly)
+	n.prepare()
 	s.network.Add(n.address, deployer.Place{Instance: m.Instance, Region: m.Region})
 	mux := drpcmux.New()
-	if err = messenger.DRPCRegisterTransfer(mux, &transferrer.Server{Store: n.store}); err != nil {
+	if err = messenger.DRPCRegisterTransfer(mux, &corruptor{DRPCTransferServer: &transferrer.Server{Store: n.store}, node: n}); err != nil {
 		return err
 	}
 	nctx, cancel := context.WithCancel(ctx)
@@ -221,28 +251,86 @@
 	})
 }
 
+// prepare makes the assembly of the swarm's present version.
+func (n *node) prepare() {
+	n.assembly = assembler.New(n.swarm.digest, n.swarm.manifest)
+	n.store.Put(n.assembly)
+	n.done.Store(false)
+}
+
 // run distributes the version and returns the time until the last node has it.
-func (s *swarm) run(ctx context.Context, cfg Config) (time.Duration, error) {
+func (s *swarm) run(ctx context.Context, cfg Config) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.timeout)
 	defer cancel()
 	started := time.Now()
 	var wg sync.WaitGroup
 	for i, n := range s.nodes {
-		n.transfer = s.transfer(n, uint64(i), cfg)
-		wg.Go(func() {
-			var err error
-			if n.stats, err = n.transfer.Run(ctx); err == nil && n.assembly.VerifyWhole() == nil {
-				n.finished = time.Since(started)
-				n.done.Store(true)
-			}
-		})
+		if n.isDead() {
+			continue
+		}
+		n.begin(s.transfer(n, uint64(i), cfg))
+		wg.Go(func() { n.run(ctx, started) })
 	}
 	wg.Wait()
 	var last time.Duration
 	for _, n := range s.nodes {
 		last = max(last, n.finished)
 	}
-	return last, nil
+	return last
+}
+
+func (n *node) begin(t *transferrer.Transfer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.transfer = t
+}
+
+func (n *node) run(ctx context.Context, started time.Time) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.mu.Lock()
+	t := n.transfer
+	n.abort = cancel
+	n.mu.Unlock()
+	if _, err := t.Run(ctx); err != nil {
+		return
+	}
+	n.finished = time.Since(started)
+	n.done.Store(n.assembly.VerifyWhole() == nil)
+}
+
+// setMembers hands a newer list of members to a running transfer.
+func (n *node) setMembers(members []planner.Member) {
+	n.mu.Lock()
+	t := n.transfer
+	n.mu.Unlock()
+	if t != nil {
+		t.SetMembers(members)
+	}
+}
+
+// kill ends a node as a crash does.
+func (n *node) kill() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dead = true
+	n.cancel()
+	if n.abort != nil {
+		n.abort()
+	}
+}
+
+// holds tells whether the node's chunks are these weights, byte for byte.
+func (n *node) holds(weights []byte) bool {
+	var held bytes.Buffer
+	_, err := n.assembly.WriteTo(&held)
+	return err == nil && bytes.Equal(held.Bytes(), weights)
+}
+
+func (n *node) isDead() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dead
 }
 
 func (s *swarm) transfer(n *node, i uint64, cfg Config) *transferrer.Transfer {
@@ -264,7 +352,7 @@
 			ChunkTimeout:  t.ChunkTimeout,
 			Rand:          rand.New(rand.NewPCG(s.cfg.seed, i)),
 		},
-		Members:       s.members,
+		Members:       s.currentMembers(),
 		Dial:          n.dial,
 		Origin:        n.origin(),
 		OriginTimeout: t.OriginTimeout,
@@ -279,7 +367,7 @@
 
 func (s *swarm) unfinished() (n int) {
 	for _, nd := range s.nodes {
-		if !nd.done.Load() {
+		if !nd.done.Load() && !nd.isDead() {
 			n++
 		}
 	}
@@ -292,3 +380,32 @@
 	s.wg.Wait()
 	s.pool.Release()
 }
+
+// corruptor flips a byte in some of the chunks that a node sends.
+type corruptor struct {
+	messenger.DRPCTransferServer
+	node *node
+}
+
+// Exchange implements the transfer service.
+func (c *corruptor) Exchange(stream messenger.DRPCTransfer_ExchangeStream) error {
+	if c.node.swarm.cfg.corrupt == 0 {
+		return c.DRPCTransferServer.Exchange(stream)
+	}
+	return c.DRPCTransferServer.Exchange(&corruptStream{DRPCTransfer_ExchangeStream: stream, share: c.node.swarm.cfg.corrupt})
+}
+
+type corruptStream struct {
+	messenger.DRPCTransfer_ExchangeStream
+	share float64
+}
+
+// Send implements the transfer stream.
+func (c *corruptStream) Send(reply *messenger.ChunkReply) error {
+	if len(reply.GetData()) == 0 || rand.Float64() >= c.share {
+		return c.DRPCTransfer_ExchangeStream.Send(reply)
+	}
+	flipped := append([]byte(nil), reply.GetData()...)
+	flipped[0] ^= 0xff
+	return c.DRPCTransfer_ExchangeStream.Send(&messenger.ChunkReply{Index: reply.GetIndex(), Data: flipped})
+}
--- a/internal/shaper/shaper.go
+++ b/internal/shaper/shaper.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// quantumBytes is the largest piece that passes a link at once.
-	quantumBytes = 16 << 10
+	// quantumBytes is the largest piece that passes a link at once. Smaller
+	// pieces are nearer to a network's packets and cost more processor time.
+	quantumBytes = 8 << 10
 	// socketBufferBytes keeps the kernel from hiding the links' queues.
 	socketBufferBytes = 64 << 10
 )
@@ -23,6 +24,8 @@
 type Link struct {
 	limiter *rate.Limiter
 	bytes   atomic.Int64
+	// stalledTill is the time, in Unix nanoseconds, until which nothing passes.
+	stalledTill atomic.Int64
 }
 
 // NewLink returns a link of the given rate in bytes per second.
@@ -33,6 +36,16 @@
 // SetRate changes the rate in bytes per second.
 func (l *Link) SetRate(bytesPerSecond float64) { l.limiter.SetLimit(rate.Limit(bytesPerSecond)) }
 
+// Stall lets nothing pass until a time.
+func (l *Link) Stall(until time.Time) { l.stalledTill.Store(until.UnixNano()) }
+
+// delay returns how long n bytes take to pass.
+func (l *Link) delay(now time.Time, n int) time.Duration {
+	l.bytes.Add(int64(n))
+	stalled := time.Duration(l.stalledTill.Load() - now.UnixNano())
+	return max(l.limiter.ReserveN(now, n).DelayFrom(now), stalled)
+}
+
 // Bytes returns how many bytes have passed.
 func (l *Link) Bytes() int64 { return l.bytes.Load() }
 
@@ -43,8 +56,7 @@
 		if l == nil {
 			continue
 		}
-		l.bytes.Add(int64(n))
-		wait = max(wait, l.limiter.ReserveN(now, n).DelayFrom(now))
+		wait = max(wait, l.delay(now, n))
 	}
 	if wait <= 0 {
 		return nil
--- a/internal/sidecarserver/config.go
+++ b/internal/sidecarserver/config.go
@@ -12,6 +12,7 @@
 
 	"flamingoledge.org/flamingoledge/internal/connector"
 	"flamingoledge.org/flamingoledge/internal/endpointclient"
+	"flamingoledge.org/flamingoledge/pkg/pacer"
 	"flamingoledge.org/flamingoledge/pkg/provider"
 )
 
@@ -67,6 +68,11 @@
 	TakeoverAfter time.Duration
 	ChunkTimeout  time.Duration
 	OriginTimeout time.Duration
+	// LinkBytesPerSecond is the rate of the instance's link, and
+	// RegionBytesPerSecond that of the link between two regions; 0 if not known.
+	// Transfers are paced below them.
+	LinkBytesPerSecond   float64
+	RegionBytesPerSecond float64
 }
 
 // Defaults of a Config.
@@ -80,6 +86,33 @@
 	DefaultTrafficGoroutines = 256
 )
 
+const (
+	// busyShare is the transfers' share of a link while requests run. The rest
+	// lets requests pass without a queue.
+	busyShare = 0.8
+	// busyFor is how long after the last request a link counts as busy.
+	busyFor = 500 * time.Millisecond
+	// windowsInTimeout is how many whole windows of chunks a link must be given
+	// time for before a fetch counts as stalled.
+	windowsInTimeout = 4
+)
+
+// pace returns a pacer for a link of the given rate.
+func pace(bytesPerSecond float64) *pacer.Pacer {
+	return pacer.New(pacer.Config{
+		BytesPerSecond: bytesPerSecond, BusyShare: busyShare, IdleShare: 1, BusyFor: busyFor,
+	})
+}
+
+// chunkTimeout is the configured timeout, or longer where the link needs it.
+func (t TransferConfig) chunkTimeout(chunkBytes int) time.Duration {
+	if t.LinkBytesPerSecond <= 0 {
+		return t.ChunkTimeout
+	}
+	window := float64(t.TotalWindow*chunkBytes) / t.LinkBytesPerSecond
+	return max(t.ChunkTimeout, time.Duration(windowsInTimeout*window*float64(time.Second)))
+}
+
 // DefaultTransfer returns the usual bounds of transfers.
 func DefaultTransfer() TransferConfig {
 	return TransferConfig{
--- a/internal/sidecarserver/fetch.go
+++ b/internal/sidecarserver/fetch.go
@@ -103,7 +103,9 @@
 	f.held = a
 	f.transfer = transferrer.New(transferrer.Config{
 		Assembly:      a,
-		Planner:       f.plannerConfig(len(a.Manifest().Chunks)),
+		Planner:       f.plannerConfig(a.Manifest()),
+		Down:          f.server.down,
+		Across:        pace(f.server.cfg.Transfer.RegionBytesPerSecond / float64(f.membersHere())),
 		Members:       f.desired.members,
 		Dial:          f.server.dialInstance,
 		Origin:        f.server.cfg.Origin,
@@ -114,12 +116,23 @@
 	return f.transfer
 }
 
-func (f *fetch) plannerConfig(chunks int) planner.Config {
+// membersHere counts the members of the own region, which share its links to
+// other regions; the caller holds mu.
+func (f *fetch) membersHere() (n int) {
+	for _, m := range f.desired.members {
+		if m.Region == f.server.cfg.Region {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+func (f *fetch) plannerConfig(m chunker.Manifest) planner.Config {
 	t := f.server.cfg.Transfer
 	cfg := planner.Config{
 		Self:          f.server.member(),
 		VersionDigest: f.desired.versionDigest,
-		Chunks:        chunks,
+		Chunks:        len(m.Chunks),
 		OriginRegion:  f.server.cfg.OriginRegion,
 		OriginRanks:   max(int(f.desired.originCopies), 1),
 		EagerRanks:    1,
@@ -128,7 +141,7 @@
 		OriginWindow:  t.OriginWindow,
 		TotalWindow:   t.TotalWindow,
 		TakeoverAfter: t.TakeoverAfter,
-		ChunkTimeout:  t.ChunkTimeout,
+		ChunkTimeout:  t.chunkTimeout(m.ChunkBytes),
 		Rand:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	if f.desired.preferTime {
--- a/internal/sidecarserver/server.go
+++ b/internal/sidecarserver/server.go
@@ -22,6 +22,7 @@
 	"flamingoledge.org/flamingoledge/pkg/claimer"
 	"flamingoledge.org/flamingoledge/pkg/controller"
 	"flamingoledge.org/flamingoledge/pkg/fencer"
+	"flamingoledge.org/flamingoledge/pkg/pacer"
 	"flamingoledge.org/flamingoledge/pkg/planner"
 	"flamingoledge.org/flamingoledge/pkg/provider"
 )
@@ -50,6 +51,7 @@
 	lease       *leaseHolder
 	rollout     *rollout
 	changed     signals
+	up, down    *pacer.Pacer
 	handlers    atomic.Int64
 	metrics     *expvar.Map
 }
@@ -63,6 +65,8 @@
 		guard:       newGuard(),
 		claims:      newClaims(claimer.Config{Window: cfg.ClaimWindow, ClockSkew: cfg.ClockSkew}, cfg.Log, cfg.Logger),
 		executions:  newExecutions(),
+		up:          pace(cfg.Transfer.LinkBytesPerSecond),
+		down:        pace(cfg.Transfer.LinkBytesPerSecond),
 		metrics:     new(expvar.Map).Init(),
 	}
 	if s.pool, err = ants.NewPool(cfg.TrafficGoroutines, ants.WithNonblocking(true)); err != nil {
@@ -132,7 +136,7 @@
 	if err := messenger.DRPCRegisterExecution(m, executor{server: s}); err != nil {
 		s.cfg.Logger.Panic("register execution service", zap.Error(err))
 	}
-	if err := messenger.DRPCRegisterTransfer(m, &transferrer.Server{Store: s.store}); err != nil {
+	if err := messenger.DRPCRegisterTransfer(m, &transferrer.Server{Store: s.store, Up: s.up}); err != nil {
 		s.cfg.Logger.Panic("register transfer service", zap.Error(err))
 	}
 	return m
--- a/internal/transferrer/link.go
+++ b/internal/transferrer/link.go
@@ -14,10 +14,6 @@
 
 // Events that links and origin reads post to the transfer.
 type (
-	peerHolds struct {
-		peer string
-		held chunker.IndexSet
-	}
 	peerGained struct {
 		peer    string
 		indexes []uint32
@@ -39,8 +35,12 @@
 
 // link is the exchange with one peer.
 type link struct {
-	peer    string
-	outbox  chan uint32
+	peer   string
+	outbox chan uint32
+	// wanted is what the peer is asked to tell of; nil for everything. Newer
+	// sets go through wants.
+	wanted  chunker.IndexSet
+	wants   chan chunker.IndexSet
 	cancel  context.CancelFunc
 	gone    bool
 	started time.Time
@@ -65,7 +65,9 @@
 	if err != nil {
 		return err
 	}
-	hello := &messenger.ChunkRequest{VersionDigest: t.cfg.Assembly.VersionDigest(), Instance: t.cfg.Planner.Self.Instance}
+	hello := &messenger.ChunkRequest{
+		VersionDigest: t.cfg.Assembly.VersionDigest(), Instance: t.cfg.Planner.Self.Instance, Wanted: l.wanted,
+	}
 	if err = stream.Send(hello); err != nil {
 		return err
 	}
@@ -73,23 +75,22 @@
 	return t.receiveReplies(l, stream)
 }
 
-// sendRequests sends what the planner asks of the peer, as many as wait at once.
+// sendRequests sends what the planner asks of the peer, at the pace of the links.
 func (t *Transfer) sendRequests(ctx context.Context, l *link, stream messenger.DRPCTransfer_ExchangeClient) {
 	req := &messenger.ChunkRequest{}
 	for {
 		req.Indexes = req.Indexes[:0]
+		req.Wanted = nil
 		select {
 		case <-ctx.Done():
 			return
+		case req.Wanted = <-l.wants:
 		case i := <-l.outbox:
 			req.Indexes = append(req.Indexes, i)
 		}
-		for more := true; more; {
-			select {
-			case i := <-l.outbox:
-				req.Indexes = append(req.Indexes, i)
-			default:
-				more = false
+		for _, i := range req.GetIndexes() {
+			if !wait(ctx, t.paceFetch(l.peer, int(i))) {
+				return
 			}
 		}
 		if err := stream.Send(req); err != nil {
@@ -115,8 +116,6 @@
 		t.post(fetchFailed{fetch: f, why: planner.FailureMissing})
 	case reply.Data != nil:
 		t.keep(f, reply.GetData())
-	case reply.Held != nil:
-		t.post(peerHolds{peer: l.peer, held: reply.GetHeld()})
 	default:
 		t.post(peerGained{peer: l.peer, indexes: reply.GetGained()})
 	}
@@ -136,6 +135,10 @@
 	ctx, cancel := context.WithTimeout(ctx, t.cfg.OriginTimeout)
 	defer cancel()
 	m := t.cfg.Assembly.Manifest()
+	if !wait(ctx, t.cfg.Down.Reserve(time.Now(), m.ChunkLen(f.Index))) {
+		t.post(fetchFailed{fetch: f, why: planner.FailureUnavailable, err: ctx.Err()})
+		return
+	}
 	buf := make([]byte, m.ChunkLen(f.Index))
 	if err := t.cfg.Origin.ReadAt(ctx, m.WeightsDigest, m.ChunkOffset(f.Index), buf); err != nil {
 		t.post(fetchFailed{fetch: f, why: planner.FailureUnavailable, err: err})
@@ -144,6 +147,16 @@
 	t.keep(f, buf)
 }
 
+// paceFetch returns how long to wait before a chunk is asked of a peer.
+func (t *Transfer) paceFetch(peer string, index int) time.Duration {
+	now, n := time.Now(), t.cfg.Assembly.Manifest().ChunkLen(index)
+	d := t.cfg.Down.Reserve(now, n)
+	if t.isRemote(peer) {
+		d = max(d, t.cfg.Across.Reserve(now, n))
+	}
+	return d
+}
+
 func isCorrupt(err error) bool {
 	var ce *chunker.ChunkError
 	return errors.As(err, &ce)
--- a/internal/transferrer/server.go
+++ b/internal/transferrer/server.go
@@ -9,6 +9,7 @@
 	"flamingoledge.org/flamingoledge/internal/messenger"
 	"flamingoledge.org/flamingoledge/pkg/assembler"
 	"flamingoledge.org/flamingoledge/pkg/chunker"
+	"flamingoledge.org/flamingoledge/pkg/pacer"
 )
 
 const (
@@ -21,6 +22,8 @@
 // Server serves chunks to other sidecars.
 type Server struct {
 	Store *Store
+	// Up paces what is sent; nil paces nothing.
+	Up *pacer.Pacer
 }
 
 var _ messenger.DRPCTransferServer = (*Server)(nil)
@@ -37,7 +40,14 @@
 	}
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	e := exchange{assembly: a, stream: stream, requests: make(chan uint32, maxQueuedRequests)}
+	e := exchange{
+		assembly: a,
+		stream:   stream,
+		up:       s.Up,
+		requests: make(chan uint32, maxQueuedRequests),
+		wants:    make(chan chunker.IndexSet, 1),
+		wanted:   hello.GetWanted(),
+	}
 	go func() {
 		defer cancel()
 		e.receive(ctx)
@@ -48,9 +58,13 @@
 type exchange struct {
 	assembly *assembler.Assembly
 	stream   messenger.DRPCTransfer_ExchangeStream
+	up       *pacer.Pacer
 	requests chan uint32
-	told     chunker.IndexSet
-	toldLen  int
+	// wants carries newer sets of chunks that the peer wants to hear of.
+	wants   chan chunker.IndexSet
+	wanted  chunker.IndexSet
+	told    chunker.IndexSet
+	toldLen int
 }
 
 func (e *exchange) receive(ctx context.Context) {
@@ -59,6 +73,13 @@
 		if err != nil {
 			return
 		}
+		if req.Wanted != nil {
+			select {
+			case e.wants <- req.GetWanted():
+			case <-ctx.Done():
+				return
+			}
+		}
 		for _, i := range req.GetIndexes() {
 			select {
 			case e.requests <- i:
@@ -70,9 +91,8 @@
 }
 
 func (e *exchange) serve(ctx context.Context) error {
-	e.told = e.assembly.Held()
-	e.toldLen = e.told.Len()
-	if err := e.stream.Send(&messenger.ChunkReply{Held: e.told}); err != nil {
+	e.told = chunker.NewIndexSet(len(e.assembly.Manifest().Chunks))
+	if err := e.tellGains(); err != nil {
 		return err
 	}
 	ticker := time.NewTicker(gainInterval)
@@ -85,9 +105,16 @@
 		case i := <-e.requests:
 			reply = messenger.ChunkReply{Index: i, Data: e.assembly.Chunk(int(i))}
 			reply.Missing = reply.Data == nil
+			if !wait(ctx, e.up.Reserve(time.Now(), len(reply.GetData()))) {
+				return nil
+			}
 			if err := e.stream.Send(&reply); err != nil {
 				return err
 			}
+		case e.wanted = <-e.wants:
+			e.told = chunker.NewIndexSet(len(e.assembly.Manifest().Chunks))
+			e.toldLen = 0
+			ticker.Reset(gainInterval)
 		case <-ticker.C:
 			if err := e.tellGains(); err != nil {
 				return err
@@ -107,12 +134,15 @@
 	held := e.assembly.Held()
 	var reply messenger.ChunkReply
 	for i := range e.assembly.Manifest().Chunks {
-		if held.Has(i) && !e.told.Has(i) {
+		if held.Has(i) && !e.told.Has(i) && (e.wanted == nil || e.wanted.Has(i)) {
 			reply.Gained = append(reply.Gained, uint32(i))
 		}
 	}
 	e.told = held
 	e.toldLen = held.Len()
+	if len(reply.GetGained()) == 0 {
+		return nil
+	}
 	return e.stream.Send(&reply)
 }
 
@@ -128,3 +158,18 @@
 	}
 	return &messenger.ManifestReply{Data: data}, nil
 }
+
+// wait pauses for d; false if ctx ended first.
+func wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/transferrer/transfer.go
+++ b/internal/transferrer/transfer.go
@@ -1,13 +1,17 @@
 package transferrer
 
 import (
+	"bytes"
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/pkg/assembler"
+	"flamingoledge.org/flamingoledge/pkg/chunker"
+	"flamingoledge.org/flamingoledge/pkg/pacer"
 	"flamingoledge.org/flamingoledge/pkg/planner"
 	"flamingoledge.org/flamingoledge/pkg/provider"
 )
@@ -34,6 +38,10 @@
 	Origin  provider.Origin
 	// OriginTimeout bounds one read of the origin.
 	OriginTimeout time.Duration
+	// Down paces what is asked for, Across what is asked of other regions; nil
+	// paces nothing.
+	Down   *pacer.Pacer
+	Across *pacer.Pacer
 	// Submit runs a task on the pool of traffic goroutines.
 	Submit func(func()) error
 	Logger *zap.Logger
@@ -55,8 +63,10 @@
 	done    chan struct{}
 	planner *planner.Planner
 	links   map[string]*link
-	regions map[string]string
 	stats   Stats
+
+	mu      sync.Mutex
+	regions map[string]string
 }
 
 type setMembers struct{ members []planner.Member }
@@ -126,8 +136,6 @@
 	switch e := e.(type) {
 	case setMembers:
 		t.takeMembers(e.members)
-	case peerHolds:
-		t.planner.PeerHolds(e.peer, e.held)
 	case peerGained:
 		for _, i := range e.indexes {
 			t.planner.PeerGained(e.peer, int(i))
@@ -152,25 +160,59 @@
 
 func (t *Transfer) takeMembers(members []planner.Member) {
 	t.planner.SetMembers(members)
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.regions = make(map[string]string, len(members))
 	for _, m := range members {
 		t.regions[m.Instance] = m.Region
 	}
 }
 
+func (t *Transfer) isRemote(peer string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.regions[peer] != t.cfg.Planner.Self.Region
+}
+
 // connect opens the links that the planner wants and that are not open.
 func (t *Transfer) connect(ctx context.Context, now time.Time) {
-	for _, name := range t.planner.Peers(now) {
-		if l := t.links[name]; l != nil && (!l.gone || now.Sub(l.started) < reconnectAfter) {
+	for _, p := range t.planner.Peers(now) {
+		name := p.Instance
+		l := t.links[name]
+		if l != nil && !l.gone {
+			l.want(p.Wanted)
+			continue
+		}
+		if l != nil && now.Sub(l.started) < reconnectAfter {
 			continue
 		}
 		lctx, cancel := context.WithCancel(ctx)
-		l := &link{peer: name, outbox: make(chan uint32, maxQueuedRequests), cancel: cancel, started: now, lastReply: now}
+		l = &link{
+			peer:      name,
+			outbox:    make(chan uint32, maxQueuedRequests),
+			wants:     make(chan chunker.IndexSet, 1),
+			wanted:    p.Wanted,
+			cancel:    cancel,
+			started:   now,
+			lastReply: now,
+		}
 		t.links[name] = l
 		go t.runLink(lctx, l)
 	}
 }
 
+// want asks the peer to tell of another set of chunks, if it changed.
+func (l *link) want(wanted chunker.IndexSet) {
+	if bytes.Equal(l.wanted, wanted) {
+		return
+	}
+	select {
+	case l.wants <- wanted:
+		l.wanted = wanted
+	default:
+	}
+}
+
 func (t *Transfer) dispatch(ctx context.Context, now time.Time) {
 	for _, f := range t.planner.Next(now) {
 		if f.FromOrigin() {
@@ -221,10 +263,10 @@
 	switch {
 	case e.fetch.FromOrigin():
 		t.stats.FromOrigin++
-	case t.regions[e.fetch.Peer] == t.cfg.Planner.Self.Region:
-		t.stats.FromOwnRegion++
-	default:
+	case t.isRemote(e.fetch.Peer):
 		t.stats.FromOtherRegion++
+	default:
+		t.stats.FromOwnRegion++
 	}
 }
 
--- a/pkg/planner/next.go
+++ b/pkg/planner/next.go
@@ -9,7 +9,11 @@
 	"flamingoledge.org/flamingoledge/pkg/chunker"
 )
 
-const bitsPerByte = 8
+const (
+	bitsPerByte = 8
+	// hedgeChecks is how often in a chunk timeout stalled fetches are looked for.
+	hedgeChecks = 10
+)
 
 // Next returns the fetches to start now. Each is in flight until Done, Failed
 // or PeerGone says otherwise.
@@ -41,10 +45,7 @@
 			return Fetch{}, false
 		}
 	}
-	for k, u := range p.paths[i].upstreams {
-		if k >= p.paths[i].preferred && now.Sub(p.lastProgress) < p.cfg.TakeoverAfter {
-			break
-		}
+	for _, u := range p.usableUpstreams(now, i) {
 		if pr := p.peers[u]; pr != nil && pr.held.Has(i) && p.usable(now, pr) {
 			return Fetch{Index: i, Peer: u}, true
 		}
@@ -134,6 +135,10 @@
 
 // planHedges asks another holder for chunks whose source delivers nothing.
 func (p *Planner) planHedges(now time.Time, fs []Fetch) []Fetch {
+	if now.Sub(p.hedgedAt) < p.cfg.ChunkTimeout/hedgeChecks {
+		return fs
+	}
+	p.hedgedAt = now
 	for _, i := range p.stalled(now) {
 		source := p.flights[i][0].source
 		if pr := p.peers[source]; pr != nil {
--- a/pkg/planner/path.go
+++ b/pkg/planner/path.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"flamingoledge.org/flamingoledge/pkg/chunker"
 	"flamingoledge.org/flamingoledge/pkg/ranker"
 )
 
@@ -18,9 +19,6 @@
 	// upstreams are the instances of other regions to fetch it from, in order
 	// of preference; empty in the origin's region.
 	upstreams []string
-	// preferred is how many of the upstreams are on the planned path; the rest
-	// step in when there is no progress.
-	preferred int
 }
 
 // SetMembers takes the present list of members, which may lag. Self is always
@@ -37,6 +35,7 @@
 	for name, pr := range p.peers {
 		pr.member.Region = p.regionOf(name)
 	}
+	p.local = p.neighbors()
 	p.paths = make([]path, p.cfg.Chunks)
 	p.outside = p.outside[:0]
 	for i := range p.paths {
@@ -47,43 +46,69 @@
 	}
 }
 
+// Peer is an instance to be connected to.
+type Peer struct {
+	Instance string
+	// Wanted are the chunks that it is asked to tell of; nil for all.
+	Wanted chunker.IndexSet
+}
+
 // Peers returns the instances to be connected to: neighbours of the own region
-// and the upstream instances of the chunks that self fetches from outside.
-func (p *Planner) Peers(now time.Time) []string {
-	names := p.neighbors()
-	seen := map[string]struct{}{}
-	for _, n := range names {
-		seen[n] = struct{}{}
-	}
+// and the upstream instances of the chunks that self fetches from outside. Over
+// thin links they are asked to tell of those chunks only.
+func (p *Planner) Peers(now time.Time) []Peer {
+	peers := slices.Clone(p.local)
+	at := map[string]int{}
 	for _, i := range p.outside {
 		if p.held.Has(i) || !p.mayFetchOutside(now, i) {
 			continue
 		}
-		for _, u := range p.paths[i].upstreams {
-			if _, ok := seen[u]; !ok {
-				seen[u] = struct{}{}
-				names = append(names, u)
+		for _, u := range p.usableUpstreams(now, i) {
+			k, ok := at[u]
+			if !ok {
+				k = len(peers)
+				at[u] = k
+				peers = append(peers, Peer{Instance: u, Wanted: chunker.NewIndexSet(p.cfg.Chunks)})
 			}
+			peers[k].Wanted.Add(i)
 		}
 	}
-	return names
+	return peers
+}
+
+// usableUpstreams returns whom chunk i may be asked from now: the first one of
+// the planned path, and the others when there is no progress.
+func (p *Planner) usableUpstreams(now time.Time, i int) []string {
+	us := p.paths[i].upstreams
+	if len(us) > 1 && now.Sub(p.lastProgress) < p.cfg.TakeoverAfter {
+		return us[:1]
+	}
+	return us
 }
 
 // neighbors returns the successors of self at the same pseudo-random distances
 // on a ring for every member, so that each is asked by as many as it asks.
-func (p *Planner) neighbors() []string {
+func (p *Planner) neighbors() []Peer {
 	local := p.byRegion[p.cfg.Self.Region]
 	ring := ranker.Top(p.cfg.VersionDigest, local, len(local))
 	self := slices.Index(ring, p.cfg.Self.Instance)
 	n := len(ring) - 1
 	if n <= p.cfg.Neighbors {
-		return slices.Delete(ring, self, self+1)
+		return asPeers(slices.Delete(ring, self, self+1))
 	}
 	names := make([]string, 0, p.cfg.Neighbors)
 	for _, d := range p.distances(n) {
 		names = append(names, ring[(self+d)%len(ring)])
 	}
-	return names
+	return asPeers(names)
+}
+
+func asPeers(names []string) []Peer {
+	peers := make([]Peer, len(names))
+	for i, n := range names {
+		peers[i] = Peer{Instance: n}
+	}
+	return peers
 }
 
 // distances returns distinct distances from 1 to n. The distance 1 is always
@@ -113,12 +138,8 @@
 	first := p.firstRemoteRegion(i)
 	if first != region && first != "" {
 		pt.upstreams = append(pt.upstreams, ranker.Top(key, p.byRegion[first], p.cfg.OriginRanks)...)
-		pt.preferred = len(pt.upstreams)
 	}
 	pt.upstreams = append(pt.upstreams, ranker.Top(key, p.byRegion[p.cfg.OriginRegion], p.cfg.OriginRanks)...)
-	if pt.preferred == 0 {
-		pt.preferred = len(pt.upstreams)
-	}
 	return pt
 }
 
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -113,6 +113,8 @@
 	members  []Member
 	byRegion map[string][]string
 	paths    []path
+	// local are the neighbours of the own region.
+	local []Peer
 	// outside lists the chunks that self may fetch from outside the region.
 	outside []int
 
@@ -128,6 +130,9 @@
 	flights  map[int][]flight
 	inFlight int
 
+	// hedgedAt is when stalled fetches were last looked for.
+	hedgedAt time.Time
+
 	originInFlight int
 	originFailures int
 	originPause    time.Time
@@ -150,15 +155,6 @@
 // Complete tells whether every chunk is held.
 func (p *Planner) Complete() bool { return p.count == p.cfg.Chunks }
 
-// PeerHolds records the chunks that a peer says it holds.
-func (p *Planner) PeerHolds(name string, held chunker.IndexSet) {
-	for i := range p.cfg.Chunks {
-		if held.Has(i) {
-			p.PeerGained(name, i)
-		}
-	}
-}
-
 // PeerGained records one more chunk that a peer holds.
 func (p *Planner) PeerGained(name string, index int) {
 	pr := p.peer(name)
