--- a/cmd/flamingoledge/cmds/roles.go
+++ b/cmd/flamingoledge/cmds/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"expvar"
 	"net"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
+	"flamingoledge.org/flamingoledge/internal/authenticator"
 	"flamingoledge.org/flamingoledge/internal/configurator"
 	"flamingoledge.org/flamingoledge/internal/connector"
 	"flamingoledge.org/flamingoledge/internal/endpointclient"
@@ -95,6 +97,8 @@
 	client   *platformclient.Client
 	dialer   *connector.Dialer
 	address  string
+	// serverTLS is nil for plain TCP.
+	serverTLS *tls.Config
 }
 
 func newProcess(role string, c configurator.Common) (p process, err error) {
@@ -107,6 +111,17 @@
 	p.address = orElse(c.AdvertiseAddress, p.listener.Addr().String())
 	p.client = platformclient.New(platformclient.Config{Address: c.Platform})
 	p.dialer = &connector.Dialer{}
+	if c.TLS == nil {
+		return p, nil
+	}
+	auth, err := authenticator.New(authenticator.Files{
+		Certificate: c.TLS.CertificateFile, Key: c.TLS.KeyFile, Authority: c.TLS.AuthorityFile,
+	}, p.logger, time.Now())
+	if err != nil {
+		return p, err
+	}
+	p.dialer.TLS = auth.Client()
+	p.serverTLS = auth.Server()
 	return p, nil
 }
 
@@ -143,6 +158,7 @@
 		Log:               p.client,
 		Directory:         p.client,
 		Dialer:            p.dialer,
+		ServerTLS:         p.serverTLS,
 		Logger:            p.logger,
 		MaxBodyBytes:      set.MaxBodyBytes,
 		DrainTimeout:      millis(set.DrainTimeoutMillis),
@@ -151,6 +167,8 @@
 		Overcommit:        set.Overcommit,
 		TrafficGoroutines: set.TrafficGoroutines,
 		NewestSchema:      interpreter.SchemaNewest,
+		Peers:             set.Peers,
+		Snapshots:         entryserver.DefaultSnapshots(),
 		Routing:           entryserver.DefaultRouting(set.Instance.Region),
 		Retries:           retries,
 	})
@@ -186,6 +204,7 @@
 		Origin:            p.client,
 		Directory:         p.client,
 		Dialer:            p.dialer,
+		ServerTLS:         p.serverTLS,
 		Logger:            p.logger,
 		OriginRegion:      set.OriginRegion,
 		ControlEntries:    set.ControlEntries,
--- a/cmd/flamingoledge/cmds/status.go
+++ b/cmd/flamingoledge/cmds/status.go
@@ -10,9 +10,9 @@
 	"github.com/urfave/cli/v3"
 	"github.com/valyala/fasthttp"
 
-	"flamingoledge.org/flamingoledge/internal/entryserver"
 	"flamingoledge.org/flamingoledge/internal/platformclient"
 	"flamingoledge.org/flamingoledge/internal/publisher"
+	"flamingoledge.org/flamingoledge/internal/reporter"
 	"flamingoledge.org/flamingoledge/pkg/provider"
 )
 
@@ -37,7 +37,7 @@
 		return err
 	}
 	http := &fasthttp.Client{}
-	var statuses []entryserver.Status
+	var statuses []reporter.Status
 	for _, i := range instances {
 		if i.Role != provider.RoleEntry {
 			continue
@@ -55,7 +55,7 @@
 	return printStatusTable(instances, statuses)
 }
 
-func printStatusJSON(statuses []entryserver.Status) error {
+func printStatusJSON(statuses []reporter.Status) error {
 	out := json.NewEncoder(os.Stdout)
 	for _, st := range statuses {
 		if err := out.Encode(st); err != nil {
@@ -65,12 +65,12 @@
 	return nil
 }
 
-func printStatusTable(instances []provider.Instance, statuses []entryserver.Status) error {
+func printStatusTable(instances []provider.Instance, statuses []reporter.Status) error {
 	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(t, "INSTANCE\tROLE\tREGION\tLIST\tTHROUGH\tLAG\tIN PROGRESS\tVERSIONS")
 	newest := newestThrough(statuses)
-	seen := map[string]entryserver.SidecarStatus{}
-	entries := map[string]entryserver.Status{}
+	seen := map[string]reporter.SidecarStatus{}
+	entries := map[string]reporter.Status{}
 	for _, st := range statuses {
 		entries[st.Instance] = st
 		for _, sc := range st.Sidecars {
@@ -94,7 +94,7 @@
 	return t.Flush()
 }
 
-func newestThrough(statuses []entryserver.Status) (newest uint64) {
+func newestThrough(statuses []reporter.Status) (newest uint64) {
 	for _, st := range statuses {
 		newest = max(newest, st.ThroughOffset)
 	}
@@ -103,7 +103,7 @@
 
 const shortDigest = 12
 
-func versionsText(vs []entryserver.VersionStatus) string {
+func versionsText(vs []reporter.VersionStatus) string {
 	text := ""
 	for _, v := range vs {
 		state := fmt.Sprintf("%d/%d chunks", v.ChunksHeld, v.ChunksTotal)
--- a/internal/configurator/settings.go
+++ b/internal/configurator/settings.go
@@ -53,6 +53,9 @@
 	HeartbeatTimeoutMillis int     `json:"heartbeat_timeout_ms"`
 	RetryRatio             float64 `json:"retry_ratio"`
 	TrafficGoroutines      int     `json:"traffic_goroutines"`
+	// Peers are processes to ask for their state when neither the log nor the
+	// list of instances can be reached.
+	Peers []string `json:"peers,omitempty"`
 }
 
 // Sidecar are the settings of a sidecar.
@@ -158,9 +161,19 @@
 		checkRange("heartbeat_timeout_ms", e.HeartbeatTimeoutMillis, 1, maxMillis),
 		checkShare("retry_ratio", e.RetryRatio, 1),
 		checkRange("traffic_goroutines", e.TrafficGoroutines, 1, maxCount),
+		checkAddresses("peers", e.Peers),
 	)
 }
 
+func checkAddresses(field string, values []string) error {
+	for _, v := range values {
+		if err := checkAddress(field, v, true); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Check implements Checker.
 func (s *Sidecar) Check() error {
 	return firstError(
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -8,8 +8,10 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"os"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"flamingoledge.org/flamingoledge/internal/deployer"
@@ -62,7 +64,12 @@
 	t.Seed = cfg.Seed
 	t.Links.Origin = originCopies * weightsBytes / window.Seconds()
 	t.Links.Instance = instanceCopies * weightsBytes / window.Seconds()
-	d, err := deployer.Start(ctx, t, deployer.Options{Logger: cfg.Logger})
+	keys, err := os.MkdirTemp("", "flamingoledge-demo-keys")
+	if err != nil {
+		return Report{}, eris.Wrap(err, "directory for the demo's keys")
+	}
+	defer func() { _ = os.RemoveAll(keys) }()
+	d, err := deployer.Start(ctx, t, deployer.Options{Logger: cfg.Logger, KeyDirectory: keys})
 	if err != nil {
 		return Report{}, err
 	}
--- a/internal/deployer/deployment.go
+++ b/internal/deployer/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"flamingoledge.org/flamingoledge/internal/authenticator"
 	"flamingoledge.org/flamingoledge/internal/connector"
 	"flamingoledge.org/flamingoledge/internal/emulator"
 	"flamingoledge.org/flamingoledge/internal/endpointclient"
@@ -23,6 +25,8 @@
 // Options adjust a deployment.
 type Options struct {
 	Logger *zap.Logger
+	// KeyDirectory, if set, gets throw-away keys, and the processes use TLS.
+	KeyDirectory string
 	// Sidecar and Entry, if set, change the settings of each process.
 	Sidecar func(*sidecarserver.Config)
 	Entry   func(*entryserver.Config)
@@ -68,6 +72,7 @@
 	Endpoints       []*Endpoint
 
 	options Options
+	issuer  *authenticator.Issuer
 	ctx     context.Context
 	stop    context.CancelFunc
 	wg      sync.WaitGroup
@@ -100,7 +105,15 @@
 	d.wg.Wait()
 }
 
-func (d *Deployment) start() error {
+// keysValid is how long throw-away keys are valid.
+const keysValid = 24 * time.Hour
+
+func (d *Deployment) start() (err error) {
+	if d.options.KeyDirectory != "" {
+		if d.issuer, err = authenticator.NewIssuer(d.options.KeyDirectory, time.Now(), keysValid); err != nil {
+			return err
+		}
+	}
 	if err := d.startPlatform(); err != nil {
 		return err
 	}
@@ -163,10 +176,25 @@
 	})
 }
 
-func (d *Deployment) dialer(p Place) *connector.Dialer {
-	return &connector.Dialer{Wrap: func(conn net.Conn, address string) net.Conn {
+// secure returns the dialer of a process and its TLS for accepting connections,
+// which is nil without keys.
+func (d *Deployment) secure(p Place) (*connector.Dialer, *tls.Config, error) {
+	dialer := &connector.Dialer{Wrap: func(conn net.Conn, address string) net.Conn {
 		return d.Network.Wrap(p, conn, address)
 	}}
+	if d.issuer == nil {
+		return dialer, nil, nil
+	}
+	files, err := d.issuer.Issue(p.Instance, time.Now(), keysValid)
+	if err != nil {
+		return nil, nil, err
+	}
+	auth, err := authenticator.New(files, d.options.Logger, time.Now())
+	if err != nil {
+		return nil, nil, err
+	}
+	dialer.TLS = auth.Client()
+	return dialer, auth.Server(), nil
 }
 
 func (d *Deployment) launch(p *Process, run func(context.Context) error) {
@@ -193,6 +221,10 @@
 	at := Place{Instance: name, Region: region}
 	d.Network.Add(p.Address, at)
 	client := d.client(at)
+	dialer, serverTLS, err := d.secure(at)
+	if err != nil {
+		return err
+	}
 	cfg := entryserver.Config{
 		Instance:          name,
 		AvailabilityZone:  region + "-1",
@@ -203,7 +235,8 @@
 		HTTPAddress:       p.HTTPAddress,
 		Log:               client,
 		Directory:         client,
-		Dialer:            d.dialer(at),
+		Dialer:            dialer,
+		ServerTLS:         serverTLS,
 		Logger:            d.options.Logger.With(zap.String("role", "entry"), zap.String("instance", name)),
 		MaxBodyBytes:      entryserver.DefaultMaxBodyBytes,
 		DrainTimeout:      entryserver.DefaultDrainTimeout,
@@ -212,6 +245,7 @@
 		Overcommit:        entryserver.DefaultOvercommit,
 		TrafficGoroutines: entryserver.DefaultTrafficGoroutines,
 		NewestSchema:      interpreter.SchemaNewest,
+		Snapshots:         entryserver.DefaultSnapshots(),
 		Routing:           entryserver.DefaultRouting(region),
 		Retries:           entryserver.DefaultRetries(),
 	}
@@ -236,14 +270,16 @@
 	}
 	e := &Endpoint{Service: s, Name: name, Region: region, Address: lis.Addr().String()}
 	e.StandIn = emulator.NewEndpoint(emulator.EndpointConfig{
-		Name:          name,
-		Seed:          d.Topology.Seed + uint64(len(d.Endpoints)),
-		ChecksFencing: s.ChecksFencing,
-		Capacity:      s.Concurrency,
-		Slots:         s.Slots,
-		FirstToken:    s.FirstToken,
-		TokenInterval: s.TokenInterval,
-		RestartAfter:  time.Second,
+		Name:           name,
+		Seed:           d.Topology.Seed + uint64(len(d.Endpoints)),
+		ChecksFencing:  s.ChecksFencing,
+		Capacity:       s.Concurrency,
+		Slots:          s.Slots,
+		FirstToken:     s.FirstToken,
+		ColdPrefix:     s.ColdPrefix,
+		CachedPrefixes: s.CachedPrefixes,
+		TokenInterval:  s.TokenInterval,
+		RestartAfter:   time.Second,
 	})
 	d.wg.Go(func() { d.report(e.StandIn.Serve(d.ctx, lis)) })
 	if err = d.StartSidecar(e); err != nil {
@@ -263,6 +299,10 @@
 	at := Place{Instance: e.Name, Region: e.Region}
 	d.Network.Add(p.Address, at)
 	client := d.client(at)
+	dialer, serverTLS, err := d.secure(at)
+	if err != nil {
+		return err
+	}
 	cfg := sidecarserver.Config{
 		Instance:          e.Name,
 		AvailabilityZone:  e.Region + "-1",
@@ -274,7 +314,8 @@
 		Log:               client,
 		Origin:            client,
 		Directory:         client,
-		Dialer:            d.dialer(at),
+		Dialer:            dialer,
+		ServerTLS:         serverTLS,
 		Logger:            d.options.Logger.With(zap.String("role", "sidecar"), zap.String("instance", e.Name)),
 		OriginRegion:      d.Topology.Regions[0],
 		ControlEntries:    sidecarserver.DefaultControlEntries,
--- a/internal/deployer/network.go
+++ b/internal/deployer/network.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"flamingoledge.org/flamingoledge/internal/shaper"
@@ -27,7 +28,9 @@
 	up, down  map[string]*shaper.Link
 	regions   map[regionPair]*shaper.Link
 	cut       map[regionPair]bool
+	isolated  map[string]bool
 	tracked   map[*trackedConn]struct{}
+	traffic   map[string]*atomic.Int64
 	homeplace Place
 }
 
@@ -40,6 +43,8 @@
 		down:      map[string]*shaper.Link{},
 		regions:   map[regionPair]*shaper.Link{},
 		cut:       map[regionPair]bool{},
+		traffic:   map[string]*atomic.Int64{},
+		isolated:  map[string]bool{},
 		tracked:   map[*trackedConn]struct{}{},
 		homeplace: Place{Instance: "platform", Region: home},
 	}
@@ -98,9 +103,26 @@
 	}
 }
 
+// Isolate cuts an instance off from everything, or mends that, as when its
+// machine is lost while its processes run on unaware.
+func (n *Network) Isolate(instance string, cut bool) {
+	n.mu.Lock()
+	n.isolated[instance] = cut
+	var broken []*trackedConn
+	for c := range n.tracked {
+		if n.isCut(c.from, c.to) {
+			broken = append(broken, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range broken {
+		_ = c.Close()
+	}
+}
+
 // isCut tells whether two places can't reach each other; the caller holds mu.
 func (n *Network) isCut(a, b Place) bool {
-	return n.cut[regionPair{from: a.Region, to: b.Region}]
+	return n.cut[regionPair{from: a.Region, to: b.Region}] || n.isolated[a.Instance] || n.isolated[b.Instance]
 }
 
 // Wrap limits a connection from one place to an address. It returns a closed
@@ -119,6 +141,7 @@
 	in := []*shaper.Link{n.up[to.Instance], n.regionLink(to.Region, from.Region), n.down[from.Instance]}
 	out := []*shaper.Link{n.up[from.Instance], n.regionLink(from.Region, to.Region), n.down[to.Instance]}
 	tc := &trackedConn{Conn: shaper.Wrap(conn, distinct(in), distinct(out)), network: n, from: from, to: to}
+	tc.counters = [2]*atomic.Int64{n.counter(from.Instance), n.counter(to.Instance)}
 	n.tracked[tc] = struct{}{}
 	return tc
 }
@@ -153,11 +176,54 @@
 	return n.regions[p]
 }
 
-// trackedConn is a connection that a cut can end.
+// Traffic returns the bytes that an instance's processes have sent and received
+// over connections that they opened or that others opened to them.
+func (n *Network) Traffic(instance string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c := n.traffic[instance]; c != nil {
+		return c.Load()
+	}
+	return 0
+}
+
+// counter returns the byte counter of an instance; the caller holds mu.
+func (n *Network) counter(instance string) *atomic.Int64 {
+	c := n.traffic[instance]
+	if c == nil {
+		c = new(atomic.Int64)
+		n.traffic[instance] = c
+	}
+	return c
+}
+
+// trackedConn is a connection that a cut can end, with counters of its bytes at
+// both ends.
 type trackedConn struct {
 	net.Conn
 	network  *Network
 	from, to Place
+	counters [2]*atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(b []byte) (n int, err error) {
+	n, err = c.Conn.Read(b)
+	c.count(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(b []byte) (n int, err error) {
+	n, err = c.Conn.Write(b)
+	c.count(n)
+	return n, err
+}
+
+func (c *trackedConn) count(n int) {
+	for _, counter := range c.counters {
+		counter.Add(int64(n))
+	}
 }
 
 // Close implements net.Conn.
--- a/internal/deployer/records.go
+++ b/internal/deployer/records.go
@@ -9,7 +9,6 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
-	"flamingoledge.org/flamingoledge/internal/entryserver"
 	"flamingoledge.org/flamingoledge/internal/publisher"
 	"flamingoledge.org/flamingoledge/pkg/acceptor"
 	"flamingoledge.org/flamingoledge/pkg/interpreter"
@@ -139,24 +138,13 @@
 func (d *Deployment) Serving(digest string) int {
 	fewest := -1
 	for _, s := range d.EntryServers {
-		if n := serving(s.Status(), digest); fewest < 0 || n < fewest {
+		if n := s.Status().Serving(digest); fewest < 0 || n < fewest {
 			fewest = n
 		}
 	}
 	return max(fewest, 0)
 }
 
-func serving(st entryserver.Status, digest string) (n int) {
-	for _, sc := range st.Sidecars {
-		for _, v := range sc.Versions {
-			if v.Serving && v.VersionDigest == digest {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // KeyRuns counts the runs under each idempotency key, from the endpoints' own
 // histories.
 func (d *Deployment) KeyRuns() map[string]int {
@@ -181,7 +169,7 @@
 			ready = ready && len(s.Status().Sidecars) == len(d.Endpoints)
 		}
 		if ready {
-			// The processes read the list once a second, so each has it after one
+			// The processes read the list now and then, so each has it after one
 			// more reading.
 			time.Sleep(listReading)
 			return nil
@@ -192,4 +180,4 @@
 }
 
 // listReading is a little more than the time between readings of the list.
-const listReading = 1200 * time.Millisecond
+const listReading = 2200 * time.Millisecond
--- a/internal/deployer/topology.go
+++ b/internal/deployer/topology.go
@@ -21,6 +21,9 @@
 	ChecksFencing bool
 	FirstToken    time.Duration
 	TokenInterval time.Duration
+	// ColdPrefix and CachedPrefixes are the engine's prefix cache.
+	ColdPrefix     time.Duration
+	CachedPrefixes int
 }
 
 // Links are the rates of links in bytes per second; 0 is unlimited.
--- a/internal/emulator/directory.go
+++ b/internal/emulator/directory.go
@@ -10,7 +10,7 @@
 )
 
 // announceTTL is how long an instance stays listed without a new announcement.
-const announceTTL = 5 * time.Second
+const announceTTL = 6 * time.Second
 
 // historyKept bounds how far back the lagging list can look.
 const historyKept = time.Minute
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -29,6 +29,10 @@
 	Slots int
 	// FirstToken is the time to the first token of an answer.
 	FirstToken time.Duration
+	// ColdPrefix is how much longer the first token takes when the body's prefix
+	// is not among the CachedPrefixes most recently used ones.
+	ColdPrefix     time.Duration
+	CachedPrefixes int
 	// TokenInterval is the time between tokens.
 	TokenInterval time.Duration
 	// RestartAfter is how long a crashed endpoint stays down.
@@ -69,6 +73,7 @@
 	cancelled map[string]bool
 	runs      []*Run
 	keyRuns   map[string]int
+	cache     *prefixCache
 }
 
 // NewEndpoint returns an endpoint that holds nothing.
@@ -83,6 +88,7 @@
 		staged:    map[string]string{},
 		cancelled: map[string]bool{},
 		keyRuns:   map[string]int{},
+		cache:     newPrefixCache(cfg.CachedPrefixes),
 	}
 	e.faults.Store(&EndpointFaults{})
 	return e
@@ -113,6 +119,13 @@
 	return rs
 }
 
+// CacheUse returns how many requests found their prefix cached, and how many not.
+func (e *Endpoint) CacheUse() (hits, misses int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.hits, e.cache.misses
+}
+
 // Crashes returns how often a request crashed the endpoint.
 func (e *Endpoint) Crashes() int {
 	e.mu.Lock()
@@ -178,6 +191,7 @@
 	e.loaded = nil
 	e.role = ""
 	e.staged = map[string]string{}
+	e.cache = newPrefixCache(e.cfg.CachedPrefixes)
 }
 
 func (e *Endpoint) crash() {
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"flamingoledge.org/flamingoledge/internal/platformclient"
@@ -140,7 +143,20 @@
 		return
 	}
 	lag := p.cfg.ListLag + time.Duration(f.ListLagMillis)*time.Millisecond
-	writeJSON(ctx, platformclient.InstancesResponse{Instances: p.directory.list(time.Now().Add(-lag))})
+	data, err := json.Marshal(platformclient.InstancesResponse{Instances: p.directory.list(time.Now().Add(-lag))})
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(data), 16))
+	ctx.Response.Header.Set(fasthttp.HeaderETag, tag)
+	if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == tag {
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.Response.Header.Set(fasthttp.HeaderContentEncoding, "gzip")
+	ctx.SetBody(fasthttp.AppendGzipBytes(nil, data))
 }
 
 func (p *Platform) handleLog(ctx *fasthttp.RequestCtx, name string) {
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -72,7 +73,8 @@
 	if model {
 		ctx.SetContentType("application/x-ndjson")
 		ctx.Response.ImmediateHeaderFlush = true
-		ctx.SetBodyStream(e.answer(r, body, f), -1)
+		resumeFrom, _ := strconv.Atoi(string(ctx.Request.Header.Peek(endpointclient.HeaderResumeFrom)))
+		ctx.SetBodyStream(e.answer(r, body, resumeFrom, f), -1)
 		return
 	}
 	e.answerCall(ctx, r, body, f)
@@ -204,32 +206,51 @@
 }
 
 // answer streams the tokens of a run as lines.
-func (e *Endpoint) answer(r *run, body []byte, f *EndpointFaults) io.ReadCloser {
+func (e *Endpoint) answer(r *run, body []byte, resumeFrom int, f *EndpointFaults) io.ReadCloser {
 	p := Prompt{}
 	if err := json.Unmarshal(body, &p); err != nil || p.Tokens <= 0 {
 		p.Tokens = defaultTokens
 	}
-	a := &answerReader{endpoint: e, run: r, body: body, tokens: p.Tokens, cutAt: -1, interval: e.cfg.TokenInterval}
+	a := &answerReader{
+		endpoint: e, run: r, body: body, tokens: p.Tokens, first: resumeFrom, index: resumeFrom, cutAt: -1,
+		firstToken: e.firstToken(body), interval: e.cfg.TokenInterval,
+	}
 	if e.dice.happens(f.Truncate) {
 		a.cutAt = p.Tokens / 2
 	}
 	if f.Slowdown > 0 {
 		a.interval = time.Duration(float64(a.interval) * f.Slowdown)
+		a.firstToken = time.Duration(float64(a.firstToken) * f.Slowdown)
 	}
 	return a
 }
 
+// firstToken returns how long the first token takes.
+func (e *Endpoint) firstToken(body []byte) time.Duration {
+	if e.cfg.CachedPrefixes == 0 {
+		return e.cfg.FirstToken
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cache.use(body) {
+		return e.cfg.FirstToken
+	}
+	return e.cfg.FirstToken + e.cfg.ColdPrefix
+}
+
 type answerReader struct {
-	endpoint *Endpoint
-	run      *run
-	body     []byte
-	tokens   int
-	cutAt    int
-	interval time.Duration
-	index    int
-	pending  []byte
-	ended    bool
-	closed   bool
+	endpoint   *Endpoint
+	run        *run
+	body       []byte
+	tokens     int
+	first      int
+	cutAt      int
+	firstToken time.Duration
+	interval   time.Duration
+	index      int
+	pending    []byte
+	ended      bool
+	closed     bool
 }
 
 // Read implements io.Reader, one line at a time.
@@ -269,8 +290,8 @@
 
 func (a *answerReader) wait() {
 	switch {
-	case a.index == 0:
-		time.Sleep(a.endpoint.cfg.FirstToken)
+	case a.index == a.first:
+		time.Sleep(a.firstToken)
 	case a.index < a.tokens:
 		time.Sleep(a.interval)
 	}
--- a/internal/endpointclient/api.go
+++ b/internal/endpointclient/api.go
@@ -10,6 +10,8 @@
 	HeaderAdapter        = "X-Adapter"
 	HeaderPriority       = "X-Priority"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderResumeFrom is the number of frames that the caller already has.
+	HeaderResumeFrom = "X-Resume-From"
 	// HeaderRunState is "not_run" on a refusal that came before any run.
 	HeaderRunState = "X-Run-State"
 )
--- a/internal/endpointclient/client.go
+++ b/internal/endpointclient/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -45,7 +46,9 @@
 	Priority       int
 	// Stream is true for a model engine, whose answer comes in frames.
 	Stream bool
-	Body   []byte
+	// ResumeFrom is the number of frames that a resumed stream leaves out.
+	ResumeFrom int
+	Body       []byte
 }
 
 // Answer tells how a whole answer ended.
@@ -53,6 +56,9 @@
 	Status int
 	// Frames counts the frames of a streamed answer.
 	Frames int
+	// End is the end marker of a streamed answer, which is not passed to emit, so
+	// that it can go out together with the word that the answer is whole.
+	End []byte
 }
 
 // State asks the endpoint what it holds.
@@ -201,7 +207,7 @@
 		return a, err
 	}
 	if r.Stream {
-		a.Frames, err = readFrames(resp.BodyStream(), r.AttemptID, emit)
+		a.Frames, a.End, err = readFrames(resp.BodyStream(), r, emit)
 	} else {
 		err = readWhole(resp, emit)
 	}
@@ -220,6 +226,9 @@
 	setIfPresent(req, HeaderIdempotencyKey, r.IdempotencyKey)
 	setIfPresent(req, HeaderVersionDigest, r.VersionDigest)
 	setIfPresent(req, HeaderAdapter, r.Adapter)
+	if r.ResumeFrom > 0 {
+		req.Header.Set(HeaderResumeFrom, strconv.Itoa(r.ResumeFrom))
+	}
 	req.Header.Set(HeaderPriority, strconv.Itoa(r.Priority))
 	req.SetBodyRaw(r.Body)
 }
@@ -258,48 +267,48 @@
 	return nil
 }
 
-// readFrames passes on the lines of a streamed answer up to and including its
-// end marker. Without that marker the answer is not whole.
-func readFrames(body io.Reader, attemptID string, emit func([]byte) error) (frames int, err error) {
+// readFrames passes on the lines of a streamed answer and returns its end marker.
+// Without that marker the answer is not whole.
+func readFrames(body io.Reader, r Request, emit func([]byte) error) (frames int, end []byte, err error) {
+	frames = r.ResumeFrom
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 4<<10), maxLineBytes)
 	for lines.Scan() {
 		var f Frame
 		if err = json.Unmarshal(lines.Bytes(), &f); err != nil {
-			return frames, &UnknownError{Reason: "frame can't be read", Cause: err}
+			return frames, nil, &UnknownError{Reason: "frame can't be read", Cause: err}
 		}
-		if f.AttemptID != attemptID {
-			return frames, &ForeignError{Field: "frame attempt_id", Got: f.AttemptID, Want: attemptID}
+		if f.AttemptID != r.AttemptID {
+			return frames, nil, &ForeignError{Field: "frame attempt_id", Got: f.AttemptID, Want: r.AttemptID}
 		}
 		if f.Index != frames {
-			return frames, &UnknownError{Reason: fmt.Sprintf("frame %d came, want %d", f.Index, frames)}
+			return frames, nil, &UnknownError{Reason: fmt.Sprintf("frame %d came, want %d", f.Index, frames)}
 		}
 		if f.End {
-			return frames, finish(lines, emit)
+			end, err = readEnd(lines)
+			return frames, end, err
 		}
 		if err = emit(append(lines.Bytes(), '\n')); err != nil {
-			return frames, &UnknownError{Reason: "caller gone", Cause: err}
+			return frames, nil, &UnknownError{Reason: "caller gone", Cause: err}
 		}
 		frames++
 	}
 	if err = lines.Err(); err == nil {
 		err = io.ErrUnexpectedEOF
 	}
-	return frames, &UnknownError{Reason: "no end marker", Cause: err}
+	return frames, nil, &UnknownError{Reason: "no end marker", Cause: err}
 }
 
 var errAfterEnd = errors.New("bytes after the end marker")
 
-func finish(lines *bufio.Scanner, emit func([]byte) error) error {
-	last := append([]byte(nil), append(lines.Bytes(), '\n')...)
+// readEnd returns the end marker after the body has ended cleanly.
+func readEnd(lines *bufio.Scanner) ([]byte, error) {
+	end := append(bytes.Clone(lines.Bytes()), '\n')
 	if lines.Scan() {
-		return &UnknownError{Reason: "end marker was not the last line", Cause: errAfterEnd}
+		return nil, &UnknownError{Reason: "end marker was not the last line", Cause: errAfterEnd}
 	}
 	if err := lines.Err(); err != nil {
-		return &UnknownError{Reason: "connection ended badly", Cause: err}
-	}
-	if err := emit(last); err != nil {
-		return &UnknownError{Reason: "caller gone", Cause: err}
+		return nil, &UnknownError{Reason: "connection ended badly", Cause: err}
 	}
-	return nil
+	return end, nil
 }
--- a/internal/entryserver/answer.go
+++ b/internal/entryserver/answer.go
@@ -22,10 +22,7 @@
 // Read implements io.Reader.
 func (r *answerReader) Read(b []byte) (n int, err error) {
 	if len(r.pending) == 0 {
-		if r.pending, err = r.attempt.next(); err != nil {
-			if !errors.Is(err, io.EOF) {
-				r.failure = asAttemptError(err)
-			}
+		if err = r.fill(); err != nil {
 			return 0, err
 		}
 	}
@@ -34,6 +31,30 @@
 	return n, nil
 }
 
+// fill takes the next piece of the answer. A stream that was cut off is resumed
+// where that is allowed.
+func (r *answerReader) fill() (err error) {
+	if r.pending, err = r.attempt.next(); err == nil {
+		r.call.frames++
+		return nil
+	}
+	if errors.Is(err, io.EOF) {
+		return err
+	}
+	failure := asAttemptError(err)
+	if r.call.stream() {
+		if a := r.server.resume(r.call, r.attempt, failure); a != nil {
+			r.server.endAttempt(r.attempt, failure)
+			r.attempt = a
+			r.pending = a.first
+			r.call.frames++
+			return nil
+		}
+	}
+	r.failure = failure
+	return err
+}
+
 // Close implements io.Closer; the HTTP server calls it after the last byte or
 // when the caller is gone.
 func (r *answerReader) Close() error {
@@ -50,7 +71,7 @@
 	if whole {
 		r.server.logAnswered(r.call)
 	} else if !r.detached {
-		r.server.logUnknown(r.call, r.failure)
+		r.server.logUnknown(r.call, OutcomeUnknown, r.failure)
 	}
 	if !r.detached {
 		r.server.inFlight.Add(-1)
--- a/internal/entryserver/attempt.go
+++ b/internal/entryserver/attempt.go
@@ -14,6 +14,7 @@
 
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/internal/refuser"
 	"flamingoledge.org/flamingoledge/pkg/retrier"
 	"flamingoledge.org/flamingoledge/pkg/router"
 )
@@ -57,6 +58,7 @@
 	c.attempts++
 	c.attemptID = a.id
 	c.endpoint = choice.Endpoint.Instance
+	c.reason = string(choice.Reason)
 	s.logRoute(c, a, choice)
 	choice.Endpoint.Begin()
 	if err := s.open(ctx, c, a); err != nil {
@@ -104,6 +106,8 @@
 		IdempotencyKey:    c.key,
 		Priority:          int32(c.target.Workspace.Priority),
 		Body:              c.body,
+		Alone:             c.alone,
+		ResumeFrom:        uint32(c.frames),
 	})
 	if err != nil {
 		return lost(err)
@@ -201,20 +205,25 @@
 // execute runs a call: it picks an endpoint, begins an attempt, and retries
 // within the budget until an answer begins or there is a final word.
 func (s *Server) execute(ctx context.Context, c *call) (*attempt, *Problem) {
+	s.retries.of(c.service).Request(time.Now())
+	return s.tryAll(ctx, c, nil, nil)
+}
+
+// tryAll tries endpoints other than the excluded ones. unknown is an earlier
+// attempt that may have run, if there is one.
+func (s *Server) tryAll(ctx context.Context, c *call, unknown *attemptError, exclude []string) (*attempt, *Problem) {
 	budget := s.retries.of(c.service)
-	budget.Request(time.Now())
-	var unknown *attemptError
-	var exclude []string
 	owner := ""
 	for {
 		choice, ok := s.pick(c, exclude, owner)
 		if !ok {
-			return nil, finalProblem(c, unknown, &attemptError{outcome: messenger.Outcome_OUTCOME_NOT_RUN, reason: "no_endpoint"})
+			return nil, finalProblem(c, unknown, &attemptError{outcome: messenger.Outcome_OUTCOME_NOT_RUN, reason: refuser.ReasonNoEndpoint})
 		}
 		a, failure := s.begin(ctx, c, choice)
 		if failure == nil {
 			return a, nil
 		}
+		c.noteDeath(failure)
 		if failure.outcome == messenger.Outcome_OUTCOME_UNKNOWN {
 			unknown = failure
 		}
@@ -229,6 +238,32 @@
 	}
 }
 
+// noteDeath makes a call run alone after an endpoint died under it.
+func (c *call) noteDeath(failure *attemptError) {
+	if failure.reason != refuser.ReasonDied {
+		return
+	}
+	c.alone = true
+	c.deaths++
+}
+
+// resume goes on with a streamed answer that was cut off, on another endpoint
+// with the same version. It returns nil if that may not or can't be.
+func (s *Server) resume(c *call, cut *attempt, failure *attemptError) *attempt {
+	c.noteDeath(failure)
+	if !c.target.Service.Idempotent || !s.mayRetry(c, s.retries.of(c.service).Retry, failure) {
+		return nil
+	}
+	a, p := s.tryAll(context.Background(), c, failure, []string{cut.endpoint.Instance})
+	if p != nil {
+		return nil
+	}
+	logger.Log(s.cfg.Logger, logger.AnswerResumed,
+		zap.String("request_id", c.requestID), zap.String("attempt_id", c.attemptID),
+		zap.String("endpoint", c.endpoint), zap.Int("frames", c.frames), zap.String("version_digest", c.version))
+	return a
+}
+
 // pick chooses an endpoint. The owner of a claim goes first; when every endpoint
 // was tried, all may be tried again.
 func (s *Server) pick(c *call, exclude []string, owner string) (router.Choice, bool) {
@@ -252,6 +287,10 @@
 	return table.Pick(s.cfg.Routing, time.Now(), q)
 }
 
+// maxDeaths is how many endpoints may die under one call before it is given up:
+// one in company and one alone.
+const maxDeaths = 2
+
 type retryFunc func(now, deadline time.Time, attempts int) (time.Duration, retrier.Refusal)
 
 // mayRetry decides about another attempt and pauses before it.
@@ -260,7 +299,7 @@
 		s.logWithheld(c, failure, "not_repeatable")
 		return false
 	}
-	if isFinal(failure.reason) {
+	if isFinal(failure.reason) || c.deaths >= maxDeaths {
 		s.logWithheld(c, failure, "final")
 		return false
 	}
--- a/internal/entryserver/call.go
+++ b/internal/entryserver/call.go
@@ -9,8 +9,11 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
 
+	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/pkg/interpreter"
+	"flamingoledge.org/flamingoledge/pkg/quarantiner"
 	"flamingoledge.org/flamingoledge/pkg/router"
 )
 
@@ -54,7 +57,16 @@
 	attempts  int
 	attemptID string
 	endpoint  string
-	replayed  bool
+	// reason is why the endpoint was chosen.
+	reason   string
+	replayed bool
+	// alone is true when the call must run alone, because an endpoint died while
+	// it or an equal one was in progress.
+	alone bool
+	// deaths counts the endpoints that died under this call.
+	deaths int
+	// frames counts the frames that the caller already has.
+	frames int
 }
 
 // parse checks a request and finds its target. The body is copied, because the
@@ -91,12 +103,35 @@
 		return c, resolveProblem(err)
 	}
 	c.version = s.chooseVersion(v, c)
+	if p := s.checkStanding(c); p != nil {
+		return c, p
+	}
 	if p := c.readDeadline(h, now); p != nil {
 		return c, p
 	}
 	return c, c.checkKey()
 }
 
+// checkStanding refuses a convicted call and marks a suspect one.
+func (s *Server) checkStanding(c *call) *Problem {
+	standing, death := s.watcher.Standing(c.workspace, c.service, c.body)
+	switch standing {
+	case quarantiner.StandingConvicted:
+		logger.Log(s.cfg.Logger, logger.RequestConvicted,
+			zap.String("request_id", c.requestID), zap.String("workspace", c.workspace), zap.Uint64("death_offset", death))
+		return convicted(death)
+	case quarantiner.StandingSuspect:
+		c.alone = true
+	default:
+	}
+	return nil
+}
+
+func convicted(death uint64) *Problem {
+	return notRun(fasthttp.StatusUnprocessableEntity, CodeConvicted, 0,
+		"endpoints died while an equal request ran alone; the last death is record %d of the deaths stream", death)
+}
+
 func (c *call) readDeadline(h *fasthttp.RequestHeader, now time.Time) *Problem {
 	c.deadline = now.Add(c.target.Service.DefaultDeadline())
 	text := string(h.Peek(HeaderDeadline))
@@ -155,8 +190,13 @@
 	return d.Sum64() | 1
 }
 
-// ownerKey hashes the idempotency key within its workspace and service.
+// ownerKey hashes what decides the endpoint whatever its load: the body of a
+// suspect call, so that its copies wait for each other, or the idempotency key
+// within its workspace and service.
 func (c *call) ownerKey() uint64 {
+	if c.alone {
+		return xxhash.Sum64(c.body) | 1
+	}
 	if c.key == "" {
 		return 0
 	}
--- a/internal/entryserver/config.go
+++ b/internal/entryserver/config.go
@@ -13,6 +13,7 @@
 	"flamingoledge.org/flamingoledge/pkg/provider"
 	"flamingoledge.org/flamingoledge/pkg/retrier"
 	"flamingoledge.org/flamingoledge/pkg/router"
+	"flamingoledge.org/flamingoledge/pkg/snapshotter"
 )
 
 // Config configures a Server.
@@ -47,8 +48,12 @@
 	TrafficGoroutines int
 	// NewestSchema is the newest schema version of record bodies to read.
 	NewestSchema int
-	Routing      router.Config
-	Retries      retrier.Config
+	// Peers are addresses of processes to ask for their state when the log and
+	// the list of instances are out of reach.
+	Peers     []string
+	Snapshots snapshotter.Config
+	Routing   router.Config
+	Retries   retrier.Config
 }
 
 // Defaults of a Config.
--- a/internal/entryserver/configuration.go
+++ b/internal/entryserver/configuration.go
@@ -36,7 +36,12 @@
 	default:
 		return s, nil
 	}
-	if s.kept.State.Through() == before.State.Through() {
+	from, to := before.State.Through(), s.kept.State.Through()
+	if to < from {
+		s.kept = before
+		return s, []controller.Action{throughFell{from: from, to: to}}
+	}
+	if to == from {
 		return s, actions
 	}
 	actions = append(actions, keeper.UnreadableLines(before, s.kept, line)...)
--- a/internal/entryserver/control.go
+++ b/internal/entryserver/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -9,10 +10,18 @@
 	"flamingoledge.org/flamingoledge/internal/messenger"
 )
 
-// updateInterval is how often a control stream without news gets the counts of
-// serving sidecars.
+// updateInterval is how often it is looked whether the counts of serving sidecars
+// have changed.
 const updateInterval = time.Second
 
+// aliveInterval is how often a control stream without any news shows that the
+// entry is alive.
+const aliveInterval = 4 * time.Second
+
+func sameCount(a, b *messenger.VersionCount) bool {
+	return a.GetVersionDigest() == b.GetVersionDigest() && a.GetSidecars() == b.GetSidecars()
+}
+
 // Attach implements the control service for one sidecar.
 func (s *Server) Attach(stream messenger.DRPCControl_AttachStream) error {
 	first, err := stream.Recv()
@@ -30,17 +39,21 @@
 	has <- first.GetThroughOffset()
 	go func() {
 		defer cancel()
-		s.receiveHeartbeats(stream, has)
+		s.receiveHeartbeats(stream, first, has)
 	}()
 	return s.sendUpdates(ctx, stream, has)
 }
 
-func (s *Server) receiveHeartbeats(stream messenger.DRPCControl_AttachStream, has chan uint64) {
+func (s *Server) receiveHeartbeats(stream messenger.DRPCControl_AttachStream, full *messenger.Heartbeat, has chan uint64) {
 	for {
 		h, err := stream.Recv()
 		if err != nil {
 			return
 		}
+		if h.GetBrief() {
+			h = completed(full, h)
+		}
+		full = h
 		s.board.Post(heartbeatCame{heartbeat: h})
 		select {
 		case <-has:
@@ -50,12 +63,30 @@
 	}
 }
 
+// completed fills a brief heartbeat from the one before it.
+func completed(full, brief *messenger.Heartbeat) *messenger.Heartbeat {
+	return &messenger.Heartbeat{
+		Instance:         full.GetInstance(),
+		Incarnation:      full.GetIncarnation(),
+		AvailabilityZone: full.GetAvailabilityZone(),
+		Region:           full.GetRegion(),
+		Address:          full.GetAddress(),
+		Service:          full.GetService(),
+		Held:             full.GetHeld(),
+		Leaving:          full.GetLeaving(),
+		ThroughOffset:    brief.GetThroughOffset(),
+		Load:             brief.GetLoad(),
+	}
+}
+
 // sendUpdates sends the accepted records that the sidecar lacks as soon as there
 // are any, and the counts of serving sidecars now and then.
 func (s *Server) sendUpdates(ctx context.Context, stream messenger.DRPCControl_AttachStream, has <-chan uint64) error {
 	ticker := time.NewTicker(updateInterval)
 	defer ticker.Stop()
 	var through uint64
+	var told []*messenger.VersionCount
+	toldAt := time.Now()
 	for {
 		changed := s.changed.wait()
 		v := s.board.View()
@@ -75,8 +106,12 @@
 			through = h
 		case <-changed:
 		case <-ticker.C:
-			u := &messenger.Update{Entry: s.cfg.Instance, Serving: servingCounts(s.board.View())}
-			if err := stream.Send(u); err != nil {
+			counts := servingCounts(s.board.View())
+			if slices.EqualFunc(counts, told, sameCount) && time.Since(toldAt) < aliveInterval {
+				continue
+			}
+			told, toldAt = counts, time.Now()
+			if err := stream.Send(&messenger.Update{Serving: counts}); err != nil {
 				return err
 			}
 		}
@@ -85,9 +120,5 @@
 
 // State implements the control service: it gives the accepted records.
 func (s *Server) State(_ context.Context, req *messenger.StateRequest) (*messenger.Update, error) {
-	v := s.board.View()
-	if !v.kept.Ready {
-		return nil, eris.New("no configuration yet")
-	}
-	return v.kept.Update(req.GetAboveOffset()), nil
+	return s.board.View().kept.Answer(req)
 }
--- a/internal/entryserver/final.go
+++ b/internal/entryserver/final.go
@@ -30,6 +30,8 @@
 		return notRun(fasthttp.StatusConflict, CodeKeyReused, 0, "the key was used with another body")
 	case refuser.ReasonClaimUnavailable:
 		return notRun(fasthttp.StatusServiceUnavailable, CodeClaimUnavailable, endpointRetryAfter, "%v", last)
+	case refuser.ReasonConvicted:
+		return notRun(fasthttp.StatusUnprocessableEntity, CodeConvicted, 0, "endpoints died while an equal request ran alone")
 	case refuser.ReasonNoEndpoint:
 		return notRun(fasthttp.StatusServiceUnavailable, CodeNoEndpoint, endpointRetryAfter, "no endpoint serves service %s now", c.service)
 	default:
@@ -39,5 +41,5 @@
 
 // isFinal tells whether a refusal would be the same anywhere.
 func isFinal(reason string) bool {
-	return reason == refuser.ReasonExpired || reason == refuser.ReasonKeyAge || reason == refuser.ReasonKeyReused
+	return reason == refuser.ReasonExpired || reason == refuser.ReasonKeyAge || reason == refuser.ReasonKeyReused || reason == refuser.ReasonConvicted
 }
--- a/internal/entryserver/handler.go
+++ b/internal/entryserver/handler.go
@@ -12,6 +12,7 @@
 
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/pkg/admitter"
+	"flamingoledge.org/flamingoledge/pkg/provider"
 )
 
 const (
@@ -82,6 +83,7 @@
 	}
 	c.replayed = a.replayed
 	answer := &answerReader{server: s, call: c, attempt: a, pending: a.first}
+	c.frames++
 	if c.stream() {
 		streaming = true
 		s.writeStream(ctx, answer)
@@ -116,6 +118,7 @@
 
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, c *call, p *Problem) {
 	s.metrics.Add("refused", 1)
+	s.auditCall(c, p.Outcome, p.Code)
 	logger.Log(s.cfg.Logger, logger.RequestRefused,
 		zap.String("request_id", c.requestID), zap.String("workspace", c.workspace), zap.String("service", c.service),
 		zap.String("code", string(p.Code)), zap.Uint64("record_offset", c.target.RecordOffset), zap.Error(p))
@@ -128,12 +131,33 @@
 		s.refuse(ctx, c, p)
 		return
 	}
-	s.logUnknown(c, p)
+	s.logUnknown(c, p.Outcome, p)
 	writeProblem(ctx, c, p)
 }
 
-func (s *Server) logUnknown(c *call, err error) {
+// auditCall notes for the audit what became of a call.
+func (s *Server) auditCall(c *call, o Outcome, code Code) {
+	s.audit.Add(time.Now(), provider.AuditEntry{
+		Kind:           provider.AuditRequest,
+		RequestID:      c.requestID,
+		Workspace:      c.workspace,
+		Service:        c.service,
+		IdempotencyKey: c.key,
+		Outcome:        string(o),
+		Code:           string(code),
+		Attempts:       c.attempts,
+		AttemptID:      c.attemptID,
+		Endpoint:       c.endpoint,
+		Reason:         c.reason,
+		Model:          c.target.Model,
+		VersionDigest:  c.version,
+		RecordOffset:   c.target.RecordOffset,
+	})
+}
+
+func (s *Server) logUnknown(c *call, o Outcome, err error) {
 	s.metrics.Add("unknown", 1)
+	s.auditCall(c, o, CodeOutcomeUnknown)
 	logger.Log(s.cfg.Logger, logger.RequestUnknown,
 		zap.String("request_id", c.requestID), zap.String("attempt_id", c.attemptID), zap.String("endpoint", c.endpoint),
 		zap.Uint64("record_offset", c.target.RecordOffset), zap.Error(err))
@@ -141,6 +165,7 @@
 
 func (s *Server) logAnswered(c *call) {
 	s.metrics.Add("answered", 1)
+	s.auditCall(c, OutcomeAnswered, "")
 	logger.Log(s.cfg.Logger, logger.RequestAnswered,
 		zap.String("request_id", c.requestID), zap.String("attempt_id", c.attemptID), zap.String("workspace", c.workspace),
 		zap.String("service", c.service), zap.String("endpoint", c.endpoint), zap.String("version_digest", c.version),
--- /dev/null
+++ b/internal/entryserver/healing.go
@@ -0,0 +1,103 @@
+package entryserver
+
+import (
+	"context"
+	"time"
+
+	"flamingoledge.org/flamingoledge/internal/keeper"
+	"flamingoledge.org/flamingoledge/internal/logger"
+	"flamingoledge.org/flamingoledge/pkg/provider"
+)
+
+const (
+	// catchUpInterval is how often an entry compares itself with its peers.
+	catchUpInterval = 300 * time.Millisecond
+	healTimeout     = 2 * time.Second
+	// maxPeersAsked bounds the peers that are asked at a time.
+	maxPeersAsked = 4
+)
+
+// heal takes the state from a snapshot after a gap in the log, one at a time.
+func (s *Server) heal() {
+	if !s.healing.CompareAndSwap(false, true) {
+		return
+	}
+	err := s.pool.Submit(func() {
+		defer s.healing.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), healTimeout)
+		defer cancel()
+		if snap, ok, err := keeper.ReadSnapshot(ctx, s.cfg.Log); err == nil && ok {
+			s.board.Post(snapshotRead{snapshot: snap})
+		}
+		s.askPeers(ctx, s.peerAddresses())
+	})
+	if err != nil {
+		s.healing.Store(false)
+	}
+}
+
+// catchUp takes newer records from peers when the log is out of reach: an entry
+// that has no state asks all it knows, and one that has a state asks those whose
+// heartbeats show a higher through-offset.
+func (s *Server) catchUp(ctx context.Context) {
+	ticker := time.NewTicker(catchUpInterval)
+	defer ticker.Stop()
+	started := time.Now()
+	warned := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		v := s.board.View()
+		if !v.kept.Ready {
+			if !warned && time.Since(started) > healTimeout {
+				warned = true
+				logger.Log(s.cfg.Logger, logger.NoConfiguration)
+			}
+			s.askPeers(ctx, s.peerAddresses())
+			continue
+		}
+		if ahead := aheadOf(v); len(ahead) > 0 {
+			s.askPeers(ctx, ahead)
+		}
+	}
+}
+
+// aheadOf returns the addresses of sidecars whose heartbeats show a higher
+// through-offset.
+func aheadOf(v *state) []string {
+	var addresses []string
+	for _, sc := range v.sidecars {
+		if sc.heartbeat.GetThroughOffset() > v.kept.State.Through() && len(addresses) < maxPeersAsked {
+			addresses = append(addresses, sc.heartbeat.GetAddress())
+		}
+	}
+	return addresses
+}
+
+// peerAddresses returns peers to be asked: the other entries first, then sidecars.
+func (s *Server) peerAddresses() []string {
+	var entries, sidecars []string
+	for _, i := range s.board.View().instances {
+		switch {
+		case i.Name == s.cfg.Instance:
+		case i.Role == provider.RoleEntry:
+			entries = append(entries, i.Address)
+		default:
+			sidecars = append(sidecars, i.Address)
+		}
+	}
+	addresses := append(append(append([]string(nil), s.cfg.Peers...), entries...), sidecars...)
+	return addresses[:min(len(addresses), len(s.cfg.Peers)+maxPeersAsked)]
+}
+
+func (s *Server) askPeers(ctx context.Context, addresses []string) {
+	through := s.board.View().kept.State.Through()
+	u := keeper.AskPeers(ctx, s.cfg.Dialer, addresses, through)
+	if u == nil || (u.GetThroughOffset() <= through && s.board.View().kept.Ready) {
+		return
+	}
+	_ = s.board.Send(ctx, updateReceived{update: u})
+}
--- a/internal/entryserver/problem.go
+++ b/internal/entryserver/problem.go
@@ -49,6 +49,7 @@
 	CodeNotRun           Code = "not_run"
 	CodeClaimUnavailable Code = "claim_unavailable"
 	CodeOutcomeUnknown   Code = "outcome_unknown"
+	CodeConvicted        Code = "convicted"
 	CodeRanAnswerLost    Code = "ran_answer_lost"
 )
 
--- a/internal/entryserver/server.go
+++ b/internal/entryserver/server.go
@@ -14,10 +14,12 @@
 	"go.uber.org/zap"
 	"storj.io/drpc/drpcmux"
 
+	"flamingoledge.org/flamingoledge/internal/auditor"
 	"flamingoledge.org/flamingoledge/internal/connector"
 	"flamingoledge.org/flamingoledge/internal/keeper"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/internal/watcher"
 	"flamingoledge.org/flamingoledge/pkg/controller"
 	"flamingoledge.org/flamingoledge/pkg/provider"
 	"flamingoledge.org/flamingoledge/pkg/retrier"
@@ -27,11 +29,13 @@
 const (
 	controlQueue     = 4096
 	tickInterval     = 250 * time.Millisecond
-	listInterval     = time.Second
+	listInterval     = 2 * time.Second
 	announceTimeout  = time.Second
 	shutdownTimeout  = time.Second
 	drainPoll        = 10 * time.Millisecond
 	keepAliveTimeout = 30 * time.Second
+	// auditAppendsPerSecond is what all entries together append for the audit.
+	auditAppendsPerSecond = 60
 )
 
 // Server is one entry.
@@ -43,6 +47,8 @@
 	gates   gates
 	retries retryBudgets
 	changed broadcast
+	watcher *watcher.Watcher
+	audit   *auditor.Auditor
 	healing atomic.Bool
 
 	draining atomic.Bool
@@ -54,6 +60,8 @@
 func New(cfg Config) (s *Server, err error) {
 	s = &Server{cfg: cfg, metrics: new(expvar.Map).Init()}
 	s.conns.Dialer = cfg.Dialer
+	s.watcher = watcher.New(cfg.Log, cfg.Logger)
+	s.audit = auditor.New(auditor.Config{Log: cfg.Log, Logger: cfg.Logger, Instance: cfg.Instance, Interval: s.auditInterval})
 	if s.pool, err = ants.NewPool(cfg.TrafficGoroutines, ants.WithNonblocking(true)); err != nil {
 		return nil, eris.Wrap(err, "goroutine pool")
 	}
@@ -103,6 +111,10 @@
 	failed := make(chan error, 2)
 	wg.Go(func() { s.board.Run(background) })
 	wg.Go(func() { s.tail(background) })
+	wg.Go(func() { s.watcher.Run(background) })
+	wg.Go(func() { s.audit.Run(background) })
+	wg.Go(func() { s.writeSnapshots(background) })
+	wg.Go(func() { s.catchUp(background) })
 	wg.Go(func() { s.watchList(background) })
 	wg.Go(func() { failed <- connector.Serve(background, s.cfg.Control, s.cfg.ServerTLS, s.mux()) })
 	wg.Go(func() { failed <- server.Serve(s.cfg.HTTP) })
@@ -137,6 +149,13 @@
 	}
 }
 
+// auditInterval is the time between appends of audit entries: one second, or
+// longer where many entries share the log's appends.
+func (s *Server) auditInterval() time.Duration {
+	entries := liveEntries(s.board.View().instances)
+	return max(time.Second, time.Duration(entries)*time.Second/auditAppendsPerSecond)
+}
+
 func (s *Server) mux() *drpcmux.Mux {
 	m := drpcmux.New()
 	if err := messenger.DRPCRegisterControl(m, s); err != nil {
@@ -154,6 +173,8 @@
 		s.changed.notify()
 	case gapFound:
 		s.heal()
+	case throughFell:
+		logger.Log(s.cfg.Logger, logger.ThroughOffsetFell, zap.Uint64("from", a.from), zap.Uint64("to", a.to))
 	}
 }
 
@@ -185,24 +206,6 @@
 	}
 }
 
-// heal takes the state from a snapshot after a gap, one at a time.
-func (s *Server) heal() {
-	if !s.healing.CompareAndSwap(false, true) {
-		return
-	}
-	err := s.pool.Submit(func() {
-		defer s.healing.Store(false)
-		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-		defer cancel()
-		if snap, ok, err := keeper.ReadSnapshot(ctx, s.cfg.Log); err == nil && ok {
-			s.board.Post(snapshotRead{snapshot: snap})
-		}
-	})
-	if err != nil {
-		s.healing.Store(false)
-	}
-}
-
 // watchList reads the platform's list and announces this instance.
 func (s *Server) watchList(ctx context.Context) {
 	ticker := time.NewTicker(listInterval)
--- /dev/null
+++ b/internal/entryserver/snapshots.go
@@ -0,0 +1,99 @@
+package entryserver
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"flamingoledge.org/flamingoledge/internal/keeper"
+	"flamingoledge.org/flamingoledge/internal/logger"
+	"flamingoledge.org/flamingoledge/pkg/provider"
+	"flamingoledge.org/flamingoledge/pkg/ranker"
+	"flamingoledge.org/flamingoledge/pkg/snapshotter"
+)
+
+const (
+	snapshotCheck   = 250 * time.Millisecond
+	snapshotTimeout = 2 * time.Second
+)
+
+// DefaultSnapshots returns how often snapshots are written.
+func DefaultSnapshots() snapshotter.Config {
+	return snapshotter.Config{EveryRecords: 256, EveryTime: time.Minute, RankDelay: 2 * time.Second}
+}
+
+// writeSnapshots appends snapshots when they are due and it is the own turn.
+func (s *Server) writeSnapshots(ctx context.Context) {
+	ticker := time.NewTicker(snapshotCheck)
+	defer ticker.Stop()
+	state := snapshotter.State{}.WithSeen(time.Now(), 0)
+	next := uint64(1)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		v := s.board.View()
+		if !v.kept.Ready {
+			continue
+		}
+		var due bool
+		state, due = state.Decide(s.cfg.Snapshots, time.Now(), v.kept.State.Through(), s.rankAmongEntries(v))
+		if !due {
+			continue
+		}
+		// Another entry may have written it by now.
+		state, next = s.seeSnapshots(ctx, state, next)
+		if state.Through() >= v.kept.State.Through() {
+			continue
+		}
+		if s.appendSnapshot(ctx, v.kept) {
+			state = state.WithSeen(time.Now(), v.kept.State.Through())
+		}
+	}
+}
+
+// rankAmongEntries returns the own place among the live entries for the present
+// through-offset.
+func (s *Server) rankAmongEntries(v *state) int {
+	var names []string
+	for _, i := range v.instances {
+		if i.Role == provider.RoleEntry && i.State == provider.InstanceLive {
+			names = append(names, i.Name)
+		}
+	}
+	ranked := ranker.Top("snapshot/"+strconv.FormatUint(v.kept.State.Through(), 10), names, len(names))
+	return max(slices.Index(ranked, s.cfg.Instance), 0)
+}
+
+// seeSnapshots reads the snapshots that others have written.
+func (s *Server) seeSnapshots(ctx context.Context, state snapshotter.State, next uint64) (snapshotter.State, uint64) {
+	page, err := s.cfg.Log.Read(ctx, provider.StreamSnapshots, next, keeper.PageLimit, 0)
+	if err != nil {
+		return state, next
+	}
+	if snap, ok := keeper.NewestSnapshot(page.Records); ok {
+		state = state.WithSeen(time.Now(), snap.ThroughOffset)
+	}
+	return state, max(next, page.Next)
+}
+
+func (s *Server) appendSnapshot(ctx context.Context, kept keeper.Kept) bool {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	data, err := json.Marshal(kept.Snapshot())
+	if err != nil {
+		return false
+	}
+	if _, err = s.cfg.Log.Append(ctx, provider.StreamSnapshots, data); err != nil {
+		return false
+	}
+	logger.Log(s.cfg.Logger, logger.SnapshotWritten,
+		zap.Uint64("through_offset", kept.State.Through()), zap.Int("bytes", len(data)))
+	return true
+}
--- a/internal/entryserver/state.go
+++ b/internal/entryserver/state.go
@@ -52,6 +52,8 @@
 	configurationChanged struct{}
 	// gapFound asks for a state that does not come from the log's tail.
 	gapFound struct{ gap *provider.GapError }
+	// throughFell reports a defect: the configuration would have moved back.
+	throughFell struct{ from, to uint64 }
 )
 
 func line(e logger.Event, fields ...zap.Field) logLine { return logLine{event: e, fields: fields} }
--- a/internal/entryserver/status.go
+++ b/internal/entryserver/status.go
@@ -6,39 +6,9 @@
 	"slices"
 
 	"github.com/valyala/fasthttp"
-)
-
-// Status is what an entry knows about itself and its sidecars.
-type Status struct {
-	Instance      string          `json:"instance"`
-	Ready         bool            `json:"ready"`
-	ThroughOffset uint64          `json:"through_offset"`
-	StateDigest   string          `json:"state_digest"`
-	Draining      bool            `json:"draining"`
-	InFlight      int64           `json:"in_flight"`
-	Unreadable    []string        `json:"unreadable,omitempty"`
-	Sidecars      []SidecarStatus `json:"sidecars"`
-}
 
-// SidecarStatus is one attached sidecar in an entry's status.
-type SidecarStatus struct {
-	Instance      string          `json:"instance"`
-	Region        string          `json:"region"`
-	Service       string          `json:"service"`
-	ThroughOffset uint64          `json:"through_offset"`
-	Running       int             `json:"running"`
-	Leaving       bool            `json:"leaving,omitempty"`
-	Versions      []VersionStatus `json:"versions,omitempty"`
-}
-
-// VersionStatus is how far a sidecar is with a version.
-type VersionStatus struct {
-	Model         string `json:"model"`
-	VersionDigest string `json:"version_digest"`
-	ChunksHeld    int    `json:"chunks_held"`
-	ChunksTotal   int    `json:"chunks_total"`
-	Serving       bool   `json:"serving"`
-}
+	"flamingoledge.org/flamingoledge/internal/reporter"
+)
 
 func (s *Server) handleStatus(ctx *fasthttp.RequestCtx) {
 	body, err := json.Marshal(s.Status())
@@ -51,9 +21,9 @@
 }
 
 // Status returns what the entry knows now.
-func (s *Server) Status() Status {
+func (s *Server) Status() reporter.Status {
 	v := s.board.View()
-	st := Status{
+	st := reporter.Status{
 		Instance:      s.cfg.Instance,
 		Ready:         v.kept.Ready,
 		ThroughOffset: v.kept.State.Through(),
@@ -68,9 +38,9 @@
 	return st
 }
 
-func sidecarStatus(sc sidecar) SidecarStatus {
+func sidecarStatus(sc sidecar) reporter.SidecarStatus {
 	h := sc.heartbeat
-	st := SidecarStatus{
+	st := reporter.SidecarStatus{
 		Instance:      h.GetInstance(),
 		Region:        h.GetRegion(),
 		Service:       h.GetService(),
@@ -79,7 +49,7 @@
 		Leaving:       h.GetLeaving(),
 	}
 	for _, v := range h.GetHeld() {
-		st.Versions = append(st.Versions, VersionStatus{
+		st.Versions = append(st.Versions, reporter.VersionStatus{
 			Model:         v.GetModel(),
 			VersionDigest: v.GetVersionDigest(),
 			ChunksHeld:    int(v.GetChunksHeld()),
--- a/internal/keeper/tail.go
+++ b/internal/keeper/tail.go
@@ -13,8 +13,9 @@
 const (
 	// PageLimit is how many records are read at once.
 	PageLimit = 1000
-	// pollWait is how long the log may hold a read until a record comes.
-	pollWait = time.Second
+	// pollWait is how long the log may hold a read until a record comes. A longer
+	// one costs less traffic and delays nothing.
+	pollWait = 8 * time.Second
 	// pauseAfterError is the pause after the log did not answer.
 	pauseAfterError = 200 * time.Millisecond
 )
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -16,6 +16,18 @@
 		"The control queue was full and an event was dropped; its sender sends it again. Often: the process lacks processor time.")
 )
 
+// Events about keys and the audit.
+var (
+	KeysRead = register(1101, "keys_read", zapcore.InfoLevel,
+		"The files with certificate, key and authority changed and are in use.")
+	KeysRefused = register(1102, "keys_refused", zapcore.ErrorLevel,
+		"The files with certificate, key and authority changed and are not good; the old ones stay in use. Mend the files.")
+	KeysExpire = register(1103, "keys_expire", zapcore.WarnLevel,
+		"The process's certificate ends soon. Put new files in place of the old ones; they are read without a restart.")
+	AuditLost = register(1104, "audit_lost", zapcore.WarnLevel,
+		"Audit entries were dropped, because the log did not take them in time. The next batch tells how many.")
+)
+
 // Events about configuration.
 var (
 	RecordAccepted = register(2001, "record_accepted", zapcore.InfoLevel,
@@ -66,6 +78,20 @@
 		"An endpoint failed repeatedly and gets no requests for a while.")
 )
 
+// Events about requests that crash endpoints.
+var (
+	EndpointDied = register(3101, "endpoint_died", zapcore.ErrorLevel,
+		"The endpoint died. `suspects` counts the requests that were in progress; they run alone until they are cleared.")
+	SuspectAlone = register(3102, "suspect_alone", zapcore.InfoLevel,
+		"A suspect request runs alone on an endpoint. `death_offset` names the record of the death.")
+	SuspectCleared = register(3103, "suspect_cleared", zapcore.InfoLevel,
+		"A suspect request ended well while it ran alone, and is no longer suspect.")
+	RequestConvicted = register(3104, "request_convicted", zapcore.ErrorLevel,
+		"A request is refused, because endpoints died while it ran alone. `death_offset` names the record of the last death.")
+	AnswerResumed = register(3105, "answer_resumed", zapcore.InfoLevel,
+		"A streamed answer was cut off and goes on from another endpoint with the same version.")
+)
+
 // Events about weights and orders.
 var (
 	PlacementDecided = register(4001, "placement_decided", zapcore.InfoLevel,
--- /dev/null
+++ b/internal/measurer/config.go
@@ -0,0 +1,289 @@
+package measurer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+
+	"flamingoledge.org/flamingoledge/internal/deployer"
+	"flamingoledge.org/flamingoledge/internal/publisher"
+	"flamingoledge.org/flamingoledge/pkg/acceptor"
+	"flamingoledge.org/flamingoledge/pkg/interpreter"
+)
+
+const (
+	inForceBound    = 1.0
+	inForceCutBound = 3.0
+	bytesBound      = 3000.0
+	coreBound       = 0.013
+	memoryBound     = 128.0
+
+	spreadSidecars     = 64
+	spreadPublishes    = 60
+	spreadQuick        = 20
+	spreadPoll         = 2 * time.Millisecond
+	spreadTimeout      = 10 * time.Second
+	cutSettle          = 500 * time.Millisecond
+	racers             = 6
+	racingRounds       = 20
+	idleTime           = 10 * time.Second
+	idleQuickTime      = 4 * time.Second
+	targetEntries      = 320
+	targetSidecars     = 2200
+	megabyte           = 1 << 20
+	measuredSmall      = 8
+	measuredLarge      = 64
+	controlStreamsEach = 3
+)
+
+func measureConfig(ctx context.Context, cfg Config, r *Report) error {
+	if err := measureSpread(ctx, cfg, r); err != nil {
+		return err
+	}
+	return measureControlCost(ctx, cfg, r)
+}
+
+// spreadTopology has three regions, an entry in each, and plain endpoints.
+func spreadTopology(sidecars int) deployer.Topology {
+	return deployer.Topology{
+		Regions: []string{"a", "b", "c"}, EntriesPerRegion: 1,
+		Services: []deployer.Service{{Name: "orders", Kind: interpreter.ServicePlain, Endpoints: sidecars, Concurrency: 8}},
+	}
+}
+
+// measureSpread publishes records and takes the time until each is in force on
+// every process, with a healthy network and with a region cut off from the log.
+func measureSpread(ctx context.Context, cfg Config, r *Report) error {
+	return withRig(ctx, cfg, spreadTopology(spreadSidecars), deployer.Options{}, func(ctx context.Context, rg *rig) error {
+		n := spreadPublishes
+		if cfg.Quick {
+			n = spreadQuick
+		}
+		w := watchOffsets(ctx, rg)
+		healthy, err := rg.publishAndAwait(ctx, n)
+		if err != nil {
+			return err
+		}
+		two, err := rg.race(ctx)
+		if err != nil {
+			return err
+		}
+		rg.Network.Cut("a", "b", true)
+		time.Sleep(cutSettle)
+		cut, err := rg.publishAndAwait(ctx, n)
+		if err != nil {
+			return err
+		}
+		rg.Network.Cut("a", "b", false)
+		r.bounded("in_force_p99_seconds", healthy.at(99).Seconds(), "s", Lower, inForceBound)
+		r.bounded("in_force_cut_p99_seconds", cut.at(99).Seconds(), "s", Lower, inForceCutBound)
+		r.bounded("reverts", float64(w.stop()), "falls", Lower, 0)
+		r.bounded("two_winners", float64(two), "bases", Lower, 0)
+		return nil
+	})
+}
+
+func newRecord(subject string, base uint64) acceptor.Envelope {
+	return acceptor.Envelope{
+		SchemaVersion: interpreter.SchemaFirst, RecordID: uuid.Must(uuid.NewV7()).String(), Subject: subject, Base: base,
+		Body: fmt.Appendf(nil, `{"weight": 1, "priority": 0, "routes": [{"service": "orders"}]}`),
+	}
+}
+
+// publishAndAwait publishes records one after the other and returns how long each
+// took from the call to being in force on every process.
+func (r *rig) publishAndAwait(ctx context.Context, n int) (*latencies, error) {
+	ls := newLatencies()
+	for range n {
+		started := time.Now()
+		offset, err := publisher.Publish(ctx, r.Client, newRecord("workspace:"+newKey(), 0))
+		if err != nil {
+			return nil, err
+		}
+		for r.lowestThrough() < offset {
+			if time.Since(started) > spreadTimeout {
+				break
+			}
+			time.Sleep(spreadPoll)
+		}
+		ls.record(time.Since(started))
+	}
+	return ls, nil
+}
+
+// lowestThrough returns the lowest through-offset of all processes.
+func (r *rig) lowestThrough() uint64 {
+	lowest := ^uint64(0)
+	for _, e := range r.EntryServers {
+		lowest = min(lowest, e.Status().ThroughOffset)
+	}
+	for _, e := range r.Endpoints {
+		lowest = min(lowest, e.Server.ThroughOffset())
+	}
+	return lowest
+}
+
+// offsetWatch counts falls of any process's through-offset.
+type offsetWatch struct {
+	cancel context.CancelFunc
+	done   chan int
+}
+
+func watchOffsets(ctx context.Context, r *rig) *offsetWatch {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &offsetWatch{cancel: cancel, done: make(chan int, 1)}
+	go func() {
+		falls := 0
+		entries := make([]uint64, len(r.EntryServers))
+		sidecars := make([]uint64, len(r.Endpoints))
+		note := func(last *uint64, now uint64) {
+			if now < *last {
+				falls++
+			}
+			*last = now
+		}
+		for ctx.Err() == nil {
+			for i, e := range r.EntryServers {
+				note(&entries[i], e.Status().ThroughOffset)
+			}
+			for i, e := range r.Endpoints {
+				note(&sidecars[i], e.Server.ThroughOffset())
+			}
+			time.Sleep(spreadPoll)
+		}
+		w.done <- falls
+	}()
+	return w
+}
+
+func (w *offsetWatch) stop() int {
+	w.cancel()
+	return <-w.done
+}
+
+// race lets operators publish against the same base and counts the bases that
+// more than one of them is told to have won.
+func (r *rig) race(ctx context.Context) (twoWinners int, err error) {
+	subject := "workspace:raced"
+	base := uint64(0)
+	for range racingRounds {
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		var winners []uint64
+		for range racers {
+			wg.Go(func() {
+				offset, perr := publisher.Publish(ctx, r.Client, newRecord(subject, base))
+				mu.Lock()
+				defer mu.Unlock()
+				var conflict *publisher.ConflictError
+				switch {
+				case perr == nil:
+					winners = append(winners, offset)
+				case !errors.As(perr, &conflict):
+					err = perr
+				}
+			})
+		}
+		wg.Wait()
+		if err != nil {
+			return twoWinners, err
+		}
+		if len(winners) != 1 {
+			twoWinners++
+			continue
+		}
+		base = winners[0]
+	}
+	return twoWinners, nil
+}
+
+// idleCost is what an idle deployment costs.
+type idleCost struct {
+	entryBytes   float64
+	sidecarBytes float64
+	cores        float64
+	memory       float64
+	sidecars     int
+}
+
+// measureControlCost takes the slopes between a small and a large deployment and
+// works out a node's cost at the target size.
+func measureControlCost(ctx context.Context, cfg Config, r *Report) error {
+	small, err := idle(ctx, cfg, measuredSmall)
+	if err != nil {
+		return err
+	}
+	large, err := idle(ctx, cfg, measuredLarge)
+	if err != nil {
+		return err
+	}
+	more := float64(large.sidecars - small.sidecars)
+	bytesEach := (large.entryBytes - small.entryBytes) / more
+	coresEach := (large.cores - small.cores) / more
+	memoryEach := (large.memory - small.memory) / more
+	// Each sidecar holds three control streams, spread evenly over the entries.
+	attached := float64(targetSidecars*controlStreamsEach) / targetEntries
+	entryBytes := large.entryBytes + (attached-float64(large.sidecars))*bytesEach
+	r.bounded("control_bytes_per_second", max(entryBytes, large.sidecarBytes), "bytes/s", Lower, bytesBound)
+	r.add("control_bytes_per_second_entry", entryBytes, "bytes/s", Lower)
+	r.add("control_bytes_per_second_sidecar", large.sidecarBytes, "bytes/s", Lower)
+	r.add("control_bytes_per_second_each_attached_sidecar", bytesEach, "bytes/s", Lower)
+	// The slope of the process's time and memory contains the sidecar, its
+	// stand-in and its share of three entries, so it bounds each of them.
+	r.bounded("control_core_share", coresEach*max(attached/controlStreamsEach, 1), "cores", Lower, coreBound)
+	r.add("control_core_share_each_sidecar", coresEach, "cores", Lower)
+	r.bounded("control_memory_mb", memoryEach*max(attached/controlStreamsEach, 1), "MB", Lower, memoryBound)
+	r.add("control_memory_mb_each_sidecar", memoryEach, "MB", Lower)
+	return nil
+}
+
+func idle(ctx context.Context, cfg Config, sidecars int) (c idleCost, err error) {
+	length := idleTime
+	if cfg.Quick {
+		length = idleQuickTime
+	}
+	err = withRig(ctx, cfg, spreadTopology(sidecars), deployer.Options{}, func(_ context.Context, rg *rig) error {
+		time.Sleep(time.Second)
+		names := func(sum *int64) {
+			for _, p := range rg.Entries {
+				*sum += rg.Network.Traffic(p.Name)
+			}
+		}
+		var entriesBefore, entriesAfter, sidecarsBefore, sidecarsAfter int64
+		names(&entriesBefore)
+		for _, e := range rg.Endpoints {
+			sidecarsBefore += rg.Network.Traffic(e.Name)
+		}
+		cpu := processorTime()
+		time.Sleep(length)
+		c.cores = (processorTime() - cpu).Seconds() / length.Seconds()
+		names(&entriesAfter)
+		for _, e := range rg.Endpoints {
+			sidecarsAfter += rg.Network.Traffic(e.Name)
+		}
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		c.memory = float64(m.HeapInuse+m.StackInuse) / megabyte
+		c.entryBytes = float64(entriesAfter-entriesBefore) / length.Seconds() / float64(len(rg.Entries))
+		c.sidecarBytes = float64(sidecarsAfter-sidecarsBefore) / length.Seconds() / float64(sidecars)
+		c.sidecars = sidecars
+		return nil
+	})
+	return c, err
+}
+
+// processorTime returns the time that this process has spent on processors.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/measurer/report.go
+++ b/internal/measurer/report.go
@@ -72,6 +72,8 @@
 func experiments() []experiment {
 	return []experiment{
 		{name: "weights", run: measureWeights},
+		{name: "requests", run: measureRequests},
+		{name: "config", run: measureConfig},
 	}
 }
 
--- /dev/null
+++ b/internal/measurer/requests.go
@@ -0,0 +1,22 @@
+package measurer
+
+import "context"
+
+func measureRequests(ctx context.Context, cfg Config, r *Report) error {
+	for _, measure := range []func(context.Context, Config, *Report) error{
+		measureDecision,
+		measureRouting,
+		measureFairness,
+		measureOverload,
+		measureRetries,
+		measurePoison,
+		measureDrain,
+		measureOnce,
+		measureOverhead,
+	} {
+		if err := measure(ctx, cfg, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/measurer/retries.go
@@ -0,0 +1,147 @@
+package measurer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"flamingoledge.org/flamingoledge/internal/deployer"
+	"flamingoledge.org/flamingoledge/internal/emulator"
+	"flamingoledge.org/flamingoledge/internal/entryserver"
+)
+
+const (
+	amplificationBound = 1.25
+	recoveryBound      = 5.0
+
+	retryRate        = 100.0
+	retryDeadline    = 2 * time.Second
+	outageTime       = 3 * time.Second
+	outageQuickTime  = 1500 * time.Millisecond
+	recoveryTime     = 6 * time.Second
+	recoveryQuick    = 2 * time.Second
+	recoveryWindow   = 250 * time.Millisecond
+	recoveredShare   = 0.95
+	unlimitedRatio   = 1000
+	unlimitedRetries = 1e6
+)
+
+// measureRetries compares runs with and without the ratio budget, with one sick
+// endpoint and with an outage of all.
+func measureRetries(ctx context.Context, cfg Config, r *Report) error {
+	budget := func(*entryserver.Config) {}
+	unlimited := func(c *entryserver.Config) {
+		c.Retries.Ratio = unlimitedRatio
+		c.Retries.FloorPerSecond = unlimitedRetries
+	}
+	sick, err := outage(ctx, cfg, budget, 1)
+	if err != nil {
+		return err
+	}
+	sickUnlimited, err := outage(ctx, cfg, unlimited, 1)
+	if err != nil {
+		return err
+	}
+	full, err := outage(ctx, cfg, budget, limitEngines)
+	if err != nil {
+		return err
+	}
+	fullUnlimited, err := outage(ctx, cfg, unlimited, limitEngines)
+	if err != nil {
+		return err
+	}
+	r.bounded("retry_amplification", max(sick.amplification, full.amplification), "ratio", Lower, amplificationBound).
+		against(max(sickUnlimited.amplification, fullUnlimited.amplification))
+	r.bounded("recovery_seconds", max(sick.recovery, full.recovery).Seconds(), "s", Lower, recoveryBound).
+		against(max(sickUnlimited.recovery, fullUnlimited.recovery).Seconds())
+	r.add("retry_amplification_sick_endpoint", sick.amplification, "ratio", Lower).against(sickUnlimited.amplification)
+	r.add("retry_amplification_outage", full.amplification, "ratio", Lower).against(fullUnlimited.amplification)
+	r.add("answered_with_sick_endpoint", sick.answered, "ratio", Higher).against(sickUnlimited.answered)
+	return nil
+}
+
+// outageResult is what one run with failing endpoints measured.
+type outageResult struct {
+	amplification float64
+	recovery      time.Duration
+	answered      float64
+}
+
+// sample is one request's end.
+type sample struct {
+	at time.Time
+	ok bool
+}
+
+// outage makes so many engines cut off every answer for a while.
+func outage(ctx context.Context, cfg Config, entry func(*entryserver.Config), sick int) (res outageResult, err error) {
+	err = withRig(ctx, cfg, limitTopology(), deployer.Options{Entry: entry}, func(ctx context.Context, rg *rig) error {
+		length, after := outageTime, recoveryTime
+		if cfg.Quick {
+			length, after = outageQuickTime, recoveryQuick
+		}
+		ctx, cancel := context.WithTimeout(ctx, length+after)
+		defer cancel()
+		rg.setFaults(sick, emulator.EndpointFaults{Truncate: 1})
+		var mu sync.Mutex
+		var samples []sample
+		var healed time.Time
+		sentDuring, runsDuring := 0, 0
+		heal := time.AfterFunc(length, func() {
+			mu.Lock()
+			defer mu.Unlock()
+			runsDuring, _ = rg.runs()
+			sentDuring = len(samples)
+			rg.setFaults(sick, emulator.EndpointFaults{})
+			healed = time.Now()
+		})
+		defer heal.Stop()
+		err := openLoop(ctx, retryRate, cfg.Seed, func(i int, _ time.Time) {
+			reply, err := rg.ask(i, deployer.WorkspaceName(i), retryDeadline, prompt(i, i, limitTokens))
+			mu.Lock()
+			defer mu.Unlock()
+			samples = append(samples, sample{at: time.Now(), ok: err == nil && reply.Whole && reply.Outcome == entryserver.OutcomeAnswered})
+		})
+		if err != nil {
+			return err
+		}
+		res.amplification = float64(runsDuring) / float64(max(sentDuring, 1))
+		res.recovery = recoveredAfter(samples, healed)
+		ok := 0
+		for _, s := range samples[:sentDuring] {
+			if s.ok {
+				ok++
+			}
+		}
+		res.answered = float64(ok) / float64(max(sentDuring, 1))
+		return nil
+	})
+	return res, err
+}
+
+func (r *rig) setFaults(n int, f emulator.EndpointFaults) {
+	for _, e := range r.Endpoints[:n] {
+		e.StandIn.SetFaults(f)
+	}
+}
+
+// recoveredAfter returns how long after the fault's end the requests of a window
+// are answered again.
+func recoveredAfter(samples []sample, healed time.Time) time.Duration {
+	for start := healed; ; start = start.Add(recoveryWindow) {
+		ok, n, later := 0, 0, false
+		for _, s := range samples {
+			later = later || s.at.After(start)
+			if s.at.Before(start) || s.at.After(start.Add(recoveryWindow)) {
+				continue
+			}
+			n++
+			if s.ok {
+				ok++
+			}
+		}
+		if (n > 0 && float64(ok)/float64(n) >= recoveredShare) || !later {
+			return start.Add(recoveryWindow).Sub(healed)
+		}
+	}
+}
--- a/internal/platformclient/client.go
+++ b/internal/platformclient/client.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"net"
 	"net/url"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -39,6 +41,12 @@
 type Client struct {
 	cfg  Config
 	http *fasthttp.HostClient
+
+	mu sync.Mutex
+	// listed is the last list of instances and listTag its tag, so that an
+	// unchanged list is not sent again.
+	listed  []provider.Instance
+	listTag string
 }
 
 var (
@@ -90,8 +98,28 @@
 // Read implements provider.Log.
 func (c *Client) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (p provider.Page, err error) {
 	path := fmt.Sprintf("/v1/logs/%s/records?from=%d&limit=%d&wait_ms=%d", stream, from, limit, wait.Milliseconds())
-	err = c.callJSON(ctx, fasthttp.MethodGet, path, nil, wait, &p)
-	return p, err
+	if wait <= 0 {
+		err = c.callJSON(ctx, fasthttp.MethodGet, path, nil, wait, &p)
+		return p, err
+	}
+	// A read that waits must end with its context, which the library does not
+	// know; its answer is then dropped.
+	type result struct {
+		page provider.Page
+		err  error
+	}
+	done := make(chan result, 1)
+	go func() {
+		var r result
+		r.err = c.callJSON(ctx, fasthttp.MethodGet, path, nil, wait, &r.page)
+		done <- r
+	}()
+	select {
+	case r := <-done:
+		return r.page, r.err
+	case <-ctx.Done():
+		return p, &provider.UnavailableError{Operation: "read " + stream, Cause: ctx.Err()}
+	}
 }
 
 // Manifest implements provider.Origin.
@@ -131,9 +159,43 @@
 
 // Instances implements provider.Directory.
 func (c *Client) Instances(ctx context.Context) ([]provider.Instance, error) {
-	var resp InstancesResponse
-	err := c.callJSON(ctx, fasthttp.MethodGet, "/v1/instances", nil, 0, &resp)
-	return resp.Instances, err
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	req.SetRequestURI("http://" + c.cfg.Address + "/v1/instances")
+	req.Header.Set(fasthttp.HeaderAcceptEncoding, "gzip")
+	if c.listTag != "" {
+		req.Header.Set(fasthttp.HeaderIfNoneMatch, c.listTag)
+	}
+	if err := c.http.DoDeadline(req, resp, c.deadline(ctx, 0)); err != nil {
+		return nil, &provider.UnavailableError{Operation: "list instances", Cause: err}
+	}
+	switch resp.StatusCode() {
+	case fasthttp.StatusNotModified:
+		return slices.Clone(c.listed), nil
+	case fasthttp.StatusOK:
+		return c.readList(resp)
+	default:
+		return nil, &provider.UnavailableError{Operation: "list instances", Status: resp.StatusCode()}
+	}
+}
+
+// readList keeps a list that changed; the caller holds mu.
+func (c *Client) readList(resp *fasthttp.Response) ([]provider.Instance, error) {
+	body, err := resp.BodyUncompressed()
+	if err != nil {
+		return nil, &provider.UnavailableError{Operation: "list instances", Cause: err}
+	}
+	var list InstancesResponse
+	if err = json.Unmarshal(body, &list); err != nil {
+		return nil, &provider.UnavailableError{Operation: "list instances", Cause: err}
+	}
+	c.listed = list.Instances
+	c.listTag = string(resp.Header.Peek(fasthttp.HeaderETag))
+	return slices.Clone(c.listed), nil
 }
 
 // Announce implements provider.Directory.
--- a/internal/publisher/spread.go
+++ b/internal/publisher/spread.go
@@ -10,7 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"flamingoledge.org/flamingoledge/internal/entryserver"
+	"flamingoledge.org/flamingoledge/internal/reporter"
 	"flamingoledge.org/flamingoledge/pkg/provider"
 )
 
@@ -88,7 +88,7 @@
 	return s
 }
 
-func addThrough(through map[string]uint64, st entryserver.Status) {
+func addThrough(through map[string]uint64, st reporter.Status) {
 	if st.Ready {
 		through[st.Instance] = max(through[st.Instance], st.ThroughOffset)
 	}
@@ -100,7 +100,7 @@
 }
 
 // FetchStatus asks an entry for its status.
-func FetchStatus(client *fasthttp.Client, address string) (st entryserver.Status, err error) {
+func FetchStatus(client *fasthttp.Client, address string) (st reporter.Status, err error) {
 	_, body, err := client.GetTimeout(nil, "http://"+address+"/v1/status", statusTimeout)
 	if err != nil {
 		return st, err
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -2,6 +2,10 @@
 // not run. Entries decide by them what to tell the caller and whether to retry.
 package refuser
 
+// ReasonDied says of an attempt with unknown outcome that its endpoint died. A
+// retry must run alone.
+const ReasonDied = "endpoint_died"
+
 // Reasons of a refusal.
 const (
 	// ReasonLeaving means that the sidecar drains.
@@ -26,6 +30,10 @@
 	ReasonEndpoint = "endpoint_refused"
 	// ReasonSuperseded means that a newer sidecar has taken over the endpoint.
 	ReasonSuperseded = "superseded"
+	// ReasonBusy means that the endpoint could not be had alone in time.
+	ReasonBusy = "not_alone_in_time"
+	// ReasonConvicted means that endpoints died while the request ran alone.
+	ReasonConvicted = "convicted"
 	// ReasonService means that the sidecar stands beside another service.
 	ReasonService = "other_service"
 )
--- a/internal/sidecarserver/attach.go
+++ b/internal/sidecarserver/attach.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
@@ -17,6 +18,8 @@
 const (
 	// attachInterval is how often the choice of entries is looked at again.
 	attachInterval = 200 * time.Millisecond
+	// entrySilence is how long an entry may send nothing before it is given up.
+	entrySilence = 10 * time.Second
 	// reattachAfter is the pause before a lost entry is dialled again.
 	reattachAfter = 300 * time.Millisecond
 )
@@ -88,32 +91,43 @@
 	if err != nil {
 		return err
 	}
-	if err = stream.Send(s.heartbeat()); err != nil {
+	full := s.heartbeat()
+	if err = stream.Send(full); err != nil {
 		return err
 	}
 	logger.Log(s.cfg.Logger, logger.EntryReached, zap.String("entry", address))
 	go func() {
 		defer cancel()
-		s.sendHeartbeats(ctx, stream)
+		s.sendHeartbeats(ctx, stream, full)
 	}()
+	silence := time.AfterFunc(entrySilence, cancel)
+	defer silence.Stop()
 	for {
 		var u *messenger.Update
 		if u, err = stream.Recv(); err != nil {
 			return err
 		}
+		silence.Reset(entrySilence)
 		if err = s.board.Send(ctx, updateReceived{update: u}); err != nil {
 			return err
 		}
 	}
 }
 
-// sendHeartbeats tells the entry what is new at once, and else now and then.
-func (s *Server) sendHeartbeats(ctx context.Context, stream messenger.DRPCControl_AttachClient) {
+// sendHeartbeats tells the entry what is new at once, and else now and then. What
+// the entry has from the last full heartbeat is left out.
+func (s *Server) sendHeartbeats(ctx context.Context, stream messenger.DRPCControl_AttachClient, full *messenger.Heartbeat) {
 	ticker := time.NewTicker(s.cfg.HeartbeatInterval)
 	defer ticker.Stop()
 	for {
 		news := s.changed.wait()
-		if err := stream.Send(s.heartbeat()); err != nil {
+		h := s.heartbeat()
+		if isOnlyLoad(full, h) {
+			h = &messenger.Heartbeat{Brief: true, ThroughOffset: h.GetThroughOffset(), Load: h.GetLoad()}
+		} else {
+			full = h
+		}
+		if err := stream.Send(h); err != nil {
 			return
 		}
 		select {
@@ -125,6 +139,19 @@
 	}
 }
 
+// isOnlyLoad tells whether two heartbeats differ in load and offset only.
+func isOnlyLoad(a, b *messenger.Heartbeat) bool {
+	if a.GetLeaving() != b.GetLeaving() || len(a.GetHeld()) != len(b.GetHeld()) {
+		return false
+	}
+	for i, v := range a.GetHeld() {
+		if !proto.Equal(v, b.GetHeld()[i]) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Server) heartbeat() *messenger.Heartbeat {
 	v := s.board.View()
 	digest := v.kept.State.Digest()
--- a/internal/sidecarserver/claims.go
+++ b/internal/sidecarserver/claims.go
@@ -34,6 +34,7 @@
 
 // claims follows the claims stream and appends to it in batches.
 type claims struct {
+	stream string
 	log    provider.Log
 	logger *zap.Logger
 	queue  chan claimer.Entry
@@ -49,8 +50,9 @@
 	abandoned map[string]time.Time
 }
 
-func newClaims(cfg claimer.Config, log provider.Log, l *zap.Logger) *claims {
+func newClaims(cfg claimer.Config, service string, log provider.Log, l *zap.Logger) *claims {
 	return &claims{
+		stream:    provider.ClaimsStream(service),
 		log:       log,
 		logger:    l,
 		queue:     make(chan claimer.Entry, claimQueue),
@@ -68,7 +70,7 @@
 		defer c.mu.Unlock()
 		return c.ledger.Next()
 	}
-	keeper.Tail(ctx, &watchedLog{Log: c.log, down: &c.down}, provider.StreamClaims, c.logger, from, c.apply)
+	keeper.Tail(ctx, &watchedLog{Log: c.log, down: &c.down}, c.stream, c.logger, from, c.apply)
 }
 
 // watchedLog notes whether reads succeed.
@@ -136,7 +138,7 @@
 			return
 		}
 		for ctx.Err() == nil {
-			if _, err := c.log.Append(ctx, provider.StreamClaims, batch...); err == nil {
+			if _, err := c.log.Append(ctx, c.stream, batch...); err == nil {
 				break
 			}
 			pause(ctx, claimRetryWait)
--- a/internal/sidecarserver/config.go
+++ b/internal/sidecarserver/config.go
@@ -80,7 +80,7 @@
 	DefaultControlEntries    = 3
 	DefaultHeartbeatInterval = time.Second
 	DefaultDrainTimeout      = 30 * time.Second
-	DefaultLeaseDuration     = 3 * time.Second
+	DefaultLeaseDuration     = 6 * time.Second
 	DefaultClaimWindow       = 10 * time.Minute
 	DefaultClockSkew         = 5 * time.Second
 	DefaultTrafficGoroutines = 256
--- /dev/null
+++ b/internal/sidecarserver/deaths.go
@@ -0,0 +1,141 @@
+package sidecarserver
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"flamingoledge.org/flamingoledge/internal/endpointclient"
+	"flamingoledge.org/flamingoledge/internal/logger"
+	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/pkg/quarantiner"
+)
+
+const (
+	// deathSettle is how long the runs that a death ended are gathered.
+	deathSettle = 30 * time.Millisecond
+	// deathReportTimeout bounds the wait for the log to take a death.
+	deathReportTimeout = time.Second
+)
+
+// deaths knows what is in progress in each epoch of the endpoint, so that a death
+// can be reported with all that may have caused it.
+type deaths struct {
+	server *Server
+
+	mu      sync.Mutex
+	running map[*runToken]struct{}
+	reports map[uint64]*deathReport
+}
+
+// runToken stands for one run in progress.
+type runToken struct {
+	fingerprint quarantiner.Fingerprint
+	epoch       uint64
+}
+
+// deathReport is the report of one death; done is closed when it was made.
+type deathReport struct {
+	lost map[quarantiner.Fingerprint]struct{}
+	done chan struct{}
+}
+
+func newDeaths(s *Server) *deaths {
+	return &deaths{server: s, running: map[*runToken]struct{}{}, reports: map[uint64]*deathReport{}}
+}
+
+// begin notes that a run starts.
+func (d *deaths) begin(req *messenger.RunRequest) *runToken {
+	t := &runToken{
+		fingerprint: quarantiner.NewFingerprint(req.GetWorkspace(), req.GetService(), req.GetBody()),
+		epoch:       d.server.board.View().endpoint.Epoch,
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running[t] = struct{}{}
+	return t
+}
+
+// end notes that a run ended. If the endpoint died, it returns true after the
+// death was reported.
+func (d *deaths) end(t *runToken, err error) (died bool) {
+	died = isConnectionLoss(err) && d.isDead(t.epoch)
+	d.mu.Lock()
+	delete(d.running, t)
+	if !died {
+		d.mu.Unlock()
+		return false
+	}
+	report, first := d.reportOf(t.epoch)
+	report.lost[t.fingerprint] = struct{}{}
+	d.mu.Unlock()
+	if first {
+		time.Sleep(deathSettle)
+		d.send(t.epoch, report)
+		close(report.done)
+	}
+	<-report.done
+	return true
+}
+
+// reportOf returns the report of an epoch's end; the caller holds mu.
+func (d *deaths) reportOf(epoch uint64) (r *deathReport, first bool) {
+	if r = d.reports[epoch]; r != nil {
+		return r, false
+	}
+	r = &deathReport{lost: map[quarantiner.Fingerprint]struct{}{}, done: make(chan struct{})}
+	d.reports[epoch] = r
+	return r, true
+}
+
+// isDead tells whether an epoch of the endpoint has ended.
+func (d *deaths) isDead(epoch uint64) bool {
+	st, err := d.server.cfg.Endpoint.State(context.Background())
+	return err != nil || st.Epoch != epoch
+}
+
+// isConnectionLoss tells whether a run failed in a way that a death explains.
+func isConnectionLoss(err error) bool {
+	var unknown *endpointclient.UnknownError
+	return errors.As(err, &unknown) && unknown.Cause != nil
+}
+
+func (d *deaths) send(epoch uint64, r *deathReport) {
+	d.mu.Lock()
+	for t := range d.running {
+		if t.epoch == epoch {
+			r.lost[t.fingerprint] = struct{}{}
+		}
+	}
+	suspects := slices.Sorted(maps.Keys(r.lost))
+	d.mu.Unlock()
+	logger.Log(d.server.cfg.Logger, logger.EndpointDied, zap.Uint64("epoch", epoch), zap.Int("suspects", len(suspects)))
+	d.append(quarantiner.Entry{
+		Kind: quarantiner.KindDeath, Endpoint: d.server.cfg.Instance, Epoch: epoch, Fingerprints: suspects,
+	})
+}
+
+// cleared reports that a suspect ended well while it ran alone.
+func (d *deaths) cleared(f quarantiner.Fingerprint) {
+	logger.Log(d.server.cfg.Logger, logger.SuspectCleared, zap.String("fingerprint", string(f)))
+	d.append(quarantiner.Entry{
+		Kind: quarantiner.KindCleared, Endpoint: d.server.cfg.Instance, Fingerprints: []quarantiner.Fingerprint{f},
+	})
+}
+
+func (d *deaths) append(e quarantiner.Entry) {
+	ctx, cancel := context.WithTimeout(context.Background(), deathReportTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if d.server.watcher.Report(ctx, e) == nil {
+			return
+		}
+		pause(ctx, claimRetryWait)
+	}
+	d.server.metrics.Add("unreported_deaths", 1)
+}
--- a/internal/sidecarserver/guard.go
+++ b/internal/sidecarserver/guard.go
@@ -1,11 +1,16 @@
 package sidecarserver
 
 import (
+	"context"
 	"sync"
+	"time"
 
 	"flamingoledge.org/flamingoledge/internal/refuser"
 )
 
+// alonePoll is how often an attempt that must be alone looks whether it is.
+const alonePoll = 2 * time.Millisecond
+
 // guard lets attempts through to the endpoint. Entering and withdrawing take the
 // same lock, so that a version that has drained can't be entered any more.
 type guard struct {
@@ -16,6 +21,8 @@
 	limit      int
 	leaving    bool
 	superseded bool
+	// alone counts those that wait for the endpoint alone or have it.
+	alone int
 }
 
 func newGuard() *guard {
@@ -27,6 +34,19 @@
 func (g *guard) enter(version string) (reason string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if reason = g.closedTo(version); reason != "" {
+		return reason
+	}
+	if g.alone > 0 || (g.limit > 0 && g.total >= g.limit) {
+		return refuser.ReasonOverloaded
+	}
+	g.running[version]++
+	g.total++
+	return ""
+}
+
+// closedTo says why no attempt at a version may enter; the caller holds mu.
+func (g *guard) closedTo(version string) (reason string) {
 	_, ok := g.allowed[version]
 	switch {
 	case g.superseded:
@@ -35,12 +55,47 @@
 		return refuser.ReasonLeaving
 	case !ok:
 		return refuser.ReasonVersion
-	case g.limit > 0 && g.total >= g.limit:
-		return refuser.ReasonOverloaded
+	}
+	return ""
+}
+
+// enterAlone lets an attempt pass when nothing else is in progress, and keeps
+// others out until it exits. It waits for that until ctx ends.
+func (g *guard) enterAlone(ctx context.Context, version string) (reason string) {
+	g.mu.Lock()
+	g.alone++
+	g.mu.Unlock()
+	for {
+		if reason, entered := g.tryAlone(version); entered {
+			return ""
+		} else if reason != "" {
+			g.exitAlone()
+			return reason
+		}
+		select {
+		case <-ctx.Done():
+			g.exitAlone()
+			return refuser.ReasonBusy
+		case <-time.After(alonePoll):
+		}
+	}
+}
+
+func (g *guard) tryAlone(version string) (reason string, entered bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if reason = g.closedTo(version); reason != "" || g.total > 0 {
+		return reason, false
 	}
 	g.running[version]++
 	g.total++
-	return ""
+	return "", true
+}
+
+func (g *guard) exitAlone() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.alone--
 }
 
 func (g *guard) exit(version string) {
--- a/internal/sidecarserver/lease.go
+++ b/internal/sidecarserver/lease.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	leasePollWait  = 500 * time.Millisecond
+	leasePollWait  = 2 * time.Second
 	leaseRetryWait = 200 * time.Millisecond
 	leaseReadLimit = 10_000
 )
--- a/internal/sidecarserver/orders.go
+++ b/internal/sidecarserver/orders.go
@@ -10,6 +10,7 @@
 	"flamingoledge.org/flamingoledge/internal/endpointclient"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/pkg/placer"
+	"flamingoledge.org/flamingoledge/pkg/provider"
 )
 
 // orderTimeout bounds the wait for an order's answer. After it the order's
@@ -33,7 +34,9 @@
 		zap.String("order_id", o.OrderID), zap.String("kind", string(o.Kind)), zap.Uint64("fencing", o.Fencing),
 		zap.String("version_digest", o.VersionDigest), zap.Uint64("record_offset", recordOffset),
 	}
-	if err = r.server.cfg.Endpoint.Give(ctx, o); err != nil {
+	err = r.server.cfg.Endpoint.Give(ctx, o)
+	r.auditOrder(o, recordOffset, err)
+	if err != nil {
 		logger.Log(r.server.cfg.Logger, logger.OrderFailed, append(fields, zap.Error(err))...)
 		return
 	}
@@ -46,6 +49,17 @@
 	}
 }
 
+func (r *rollout) auditOrder(o endpointclient.Order, recordOffset uint64, err error) {
+	e := provider.AuditEntry{
+		Kind: provider.AuditOrder, OrderID: o.OrderID, OrderKind: string(o.Kind), Fencing: o.Fencing,
+		Model: o.Model, VersionDigest: o.VersionDigest, RecordOffset: recordOffset,
+	}
+	if err != nil {
+		e.Problem = err.Error()
+	}
+	r.server.audit.Add(time.Now(), e)
+}
+
 func (r *rollout) logWithheld(err error) {
 	logger.Log(r.server.cfg.Logger, logger.OrderWithheld, zap.Error(err))
 }
--- a/internal/sidecarserver/rollout.go
+++ b/internal/sidecarserver/rollout.go
@@ -12,6 +12,7 @@
 	"flamingoledge.org/flamingoledge/internal/endpointclient"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/pkg/interpreter"
+	"flamingoledge.org/flamingoledge/pkg/provider"
 )
 
 const (
@@ -176,6 +177,9 @@
 	logger.Log(r.server.cfg.Logger, logger.VersionServing,
 		zap.String("model", d.model), zap.String("version_digest", d.versionDigest),
 		zap.String("weights_digest", loaded.WeightsDigest), zap.Uint64("record_offset", d.recordOffset))
+	r.server.audit.Add(time.Now(), provider.AuditEntry{
+		Kind: provider.AuditServing, Model: d.model, VersionDigest: d.versionDigest, RecordOffset: d.recordOffset,
+	})
 	r.report(d, f, true)
 }
 
--- a/internal/sidecarserver/run.go
+++ b/internal/sidecarserver/run.go
@@ -16,6 +16,7 @@
 	"flamingoledge.org/flamingoledge/internal/refuser"
 	"flamingoledge.org/flamingoledge/pkg/claimer"
 	"flamingoledge.org/flamingoledge/pkg/interpreter"
+	"flamingoledge.org/flamingoledge/pkg/quarantiner"
 )
 
 const (
@@ -24,6 +25,8 @@
 	// releaseTimeout bounds the wait for a release before the answer goes out.
 	releaseTimeout = 500 * time.Millisecond
 	cancelTimeout  = time.Second
+	// aloneTimeout bounds the wait for the endpoint alone.
+	aloneTimeout = 3 * time.Second
 )
 
 // executor serves the execution service.
@@ -81,6 +84,7 @@
 		Adapter:        req.GetAdapter(),
 		Priority:       int(req.GetPriority()),
 		Stream:         s.serviceKind() == interpreter.ServiceModel,
+		ResumeFrom:     int(req.GetResumeFrom()),
 		Body:           req.GetBody(),
 	}
 }
@@ -92,20 +96,21 @@
 // runStream runs a call that may be repeated and passes its answer on as it
 // comes. It ends with the entry's call.
 func (s *Server) runStream(req *messenger.RunRequest, stream messenger.DRPCExecution_RunStream) error {
-	if reason := s.guard.enter(req.GetVersionDigest()); reason != "" {
-		return s.replyNotRun(stream, reason, false)
-	}
-	defer s.guard.exit(req.GetVersionDigest())
 	ctx, cancel := context.WithDeadline(stream.Context(), time.Unix(0, req.GetDeadlineUnixNanos()))
 	defer cancel()
+	reason, exit := s.enter(ctx, req)
+	if reason != "" {
+		return s.replyNotRun(stream, reason, false)
+	}
+	defer exit()
 	reply := &messenger.RunReply{Outcome: messenger.Outcome_OUTCOME_STARTED}
-	a, err := s.cfg.Endpoint.Run(ctx, s.request(req), func(piece []byte) error {
+	a, err := s.runOnEndpoint(ctx, req, func(piece []byte) error {
 		reply.Data = piece
 		return stream.Send(reply)
 	})
 	if err == nil {
 		return stream.Send(&messenger.RunReply{
-			Outcome: messenger.Outcome_OUTCOME_WHOLE, Frames: uint32(a.Frames), VersionDigest: req.GetVersionDigest(),
+			Outcome: messenger.Outcome_OUTCOME_WHOLE, Frames: uint32(a.Frames), Data: a.End, VersionDigest: req.GetVersionDigest(),
 		})
 	}
 	s.noteFailure(req, err)
@@ -116,6 +121,61 @@
 	return stream.Send(&messenger.RunReply{Outcome: r.outcome, Reason: r.reason, Status: 1})
 }
 
+// enter lets an attempt through to the endpoint, alone if it must be. A suspect
+// request must, whatever the entry knows; a convicted one may not run at all.
+func (s *Server) enter(ctx context.Context, req *messenger.RunRequest) (reason string, exit func()) {
+	version := req.GetVersionDigest()
+	standing, _ := s.watcher.Standing(req.GetWorkspace(), req.GetService(), req.GetBody())
+	if standing == quarantiner.StandingConvicted {
+		return refuser.ReasonConvicted, nil
+	}
+	if !req.GetAlone() && standing == quarantiner.StandingClear {
+		return s.guard.enter(version), func() { s.guard.exit(version) }
+	}
+	req.Alone = true
+	ctx, cancel := context.WithTimeout(ctx, aloneTimeout)
+	defer cancel()
+	if reason = s.guard.enterAlone(ctx, version); reason != "" {
+		return reason, nil
+	}
+	exit = func() {
+		s.guard.exit(version)
+		s.guard.exitAlone()
+	}
+	var death uint64
+	if standing, death = s.watcher.Standing(req.GetWorkspace(), req.GetService(), req.GetBody()); standing == quarantiner.StandingConvicted {
+		exit()
+		return refuser.ReasonConvicted, nil
+	}
+	logger.Log(s.cfg.Logger, logger.SuspectAlone,
+		zap.String("request_id", req.GetRequestId()), zap.String("attempt_id", req.GetAttemptId()), zap.Uint64("death_offset", death))
+	return "", exit
+}
+
+// runOnEndpoint runs an attempt and keeps account of what the endpoint dies of.
+func (s *Server) runOnEndpoint(ctx context.Context, req *messenger.RunRequest, emit func([]byte) error) (endpointclient.Answer, error) {
+	token := s.deaths.begin(req)
+	a, err := s.cfg.Endpoint.Run(ctx, s.request(req), emit)
+	if died := s.deaths.end(token, err); died {
+		return a, &endpointDiedError{cause: err}
+	}
+	if err == nil && req.GetAlone() {
+		s.deaths.cleared(token.fingerprint)
+	}
+	return a, err
+}
+
+// endpointDiedError tells that the endpoint died while an attempt ran.
+type endpointDiedError struct {
+	cause error
+}
+
+// Error implements error.
+func (e *endpointDiedError) Error() string { return "endpoint died: " + e.cause.Error() }
+
+// Unwrap returns how the attempt failed.
+func (e *endpointDiedError) Unwrap() error { return e.cause }
+
 // cancelRun asks the endpoint to stop an attempt that nobody waits for.
 func (s *Server) cancelRun(req *messenger.RunRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
@@ -140,6 +200,10 @@
 	if errors.As(err, &nr) {
 		return result{outcome: messenger.Outcome_OUTCOME_NOT_RUN, reason: refuser.ReasonEndpoint}
 	}
+	var died *endpointDiedError
+	if errors.As(err, &died) {
+		return result{outcome: messenger.Outcome_OUTCOME_UNKNOWN, reason: refuser.ReasonDied}
+	}
 	return result{outcome: messenger.Outcome_OUTCOME_UNKNOWN, reason: err.Error()}
 }
 
@@ -195,11 +259,12 @@
 	deadline := time.Unix(0, req.GetDeadlineUnixNanos())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	if reason := s.guard.enter(req.GetVersionDigest()); reason != "" {
+	reason, exit := s.enter(ctx, req)
+	if reason != "" {
 		s.executions.finish(x, result{outcome: messenger.Outcome_OUTCOME_NOT_RUN, reason: reason})
 		return
 	}
-	defer s.guard.exit(req.GetVersionDigest())
+	defer exit()
 	if r, won := s.claimKey(ctx, entry, req); !won {
 		s.executions.finish(x, r)
 		return
@@ -270,7 +335,7 @@
 		return result{outcome: messenger.Outcome_OUTCOME_NOT_RUN, reason: refuser.ReasonExpired}
 	}
 	var data []byte
-	_, err := s.cfg.Endpoint.Run(ctx, s.request(req), func(piece []byte) error {
+	_, err := s.runOnEndpoint(ctx, req, func(piece []byte) error {
 		data = append(data, piece...)
 		return nil
 	})
--- a/internal/sidecarserver/server.go
+++ b/internal/sidecarserver/server.go
@@ -14,11 +14,13 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
+	"flamingoledge.org/flamingoledge/internal/auditor"
 	"flamingoledge.org/flamingoledge/internal/connector"
 	"flamingoledge.org/flamingoledge/internal/keeper"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
 	"flamingoledge.org/flamingoledge/internal/transferrer"
+	"flamingoledge.org/flamingoledge/internal/watcher"
 	"flamingoledge.org/flamingoledge/pkg/claimer"
 	"flamingoledge.org/flamingoledge/pkg/controller"
 	"flamingoledge.org/flamingoledge/pkg/fencer"
@@ -30,12 +32,15 @@
 const (
 	controlQueue    = 1024
 	tickInterval    = 500 * time.Millisecond
-	listInterval    = time.Second
+	listInterval    = 2 * time.Second
 	probeInterval   = 300 * time.Millisecond
 	announceTimeout = time.Second
 	drainPoll       = 10 * time.Millisecond
 	// leaveNotice is how long a leaving sidecar gives its entries to hear of it.
 	leaveNotice = 50 * time.Millisecond
+	// auditInterval is the time between appends of audit entries. A sidecar has
+	// only its orders to tell of, so most intervals pass without an append.
+	auditInterval = time.Second
 )
 
 // Server is one sidecar.
@@ -52,6 +57,9 @@
 	rollout     *rollout
 	changed     signals
 	up, down    *pacer.Pacer
+	watcher     *watcher.Watcher
+	audit       *auditor.Auditor
+	deaths      *deaths
 	handlers    atomic.Int64
 	metrics     *expvar.Map
 }
@@ -63,7 +71,7 @@
 		incarnation: uuid.Must(uuid.NewV7()).String(),
 		store:       transferrer.NewStore(),
 		guard:       newGuard(),
-		claims:      newClaims(claimer.Config{Window: cfg.ClaimWindow, ClockSkew: cfg.ClockSkew}, cfg.Log, cfg.Logger),
+		claims:      newClaims(claimer.Config{Window: cfg.ClaimWindow, ClockSkew: cfg.ClockSkew}, cfg.Service, cfg.Log, cfg.Logger),
 		executions:  newExecutions(),
 		up:          pace(cfg.Transfer.LinkBytesPerSecond),
 		down:        pace(cfg.Transfer.LinkBytesPerSecond),
@@ -75,6 +83,11 @@
 	lease := fencer.Config{Endpoint: cfg.Instance, Incarnation: s.incarnation, Duration: cfg.LeaseDuration}
 	s.lease = newLeaseHolder(lease, cfg.Log, cfg.Logger, s.superseded)
 	s.rollout = newRollout(s)
+	s.watcher = watcher.New(cfg.Log, cfg.Logger)
+	s.deaths = newDeaths(s)
+	s.audit = auditor.New(auditor.Config{
+		Log: cfg.Log, Logger: cfg.Logger, Instance: cfg.Instance, Interval: func() time.Duration { return auditInterval },
+	})
 	s.board = controller.New(controller.Config[state]{
 		Initial: state{kept: keeper.New(cfg.NewestSchema)},
 		Controllers: []controller.Controller[state]{
@@ -98,6 +111,9 @@
 	return planner.Member{Instance: s.cfg.Instance, Region: s.cfg.Region}
 }
 
+// ThroughOffset returns the offset through which the configuration is in force.
+func (s *Server) ThroughOffset() uint64 { return s.board.View().kept.State.Through() }
+
 // Metrics returns the sidecar's counters.
 func (s *Server) Metrics() *expvar.Map { return s.metrics }
 
@@ -111,6 +127,8 @@
 	wg.Go(func() { s.board.Run(background) })
 	wg.Go(func() { s.lease.run(background) })
 	wg.Go(func() { s.claims.run(background) })
+	wg.Go(func() { s.watcher.Run(background) })
+	wg.Go(func() { s.audit.Run(background) })
 	wg.Go(func() { s.probe(background) })
 	wg.Go(func() { s.rollout.run(background) })
 	wg.Go(func() { s.attach(background) })
@@ -139,9 +157,23 @@
 	if err := messenger.DRPCRegisterTransfer(m, &transferrer.Server{Store: s.store, Up: s.up}); err != nil {
 		s.cfg.Logger.Panic("register transfer service", zap.Error(err))
 	}
+	if err := messenger.DRPCRegisterControl(m, &stateServer{server: s}); err != nil {
+		s.cfg.Logger.Panic("register control service", zap.Error(err))
+	}
 	return m
 }
 
+// stateServer gives the accepted records to entries that have lost theirs.
+type stateServer struct {
+	messenger.DRPCControlUnimplementedServer
+	server *Server
+}
+
+// State implements the control service.
+func (s *stateServer) State(_ context.Context, req *messenger.StateRequest) (*messenger.Update, error) {
+	return s.server.board.View().kept.Answer(req)
+}
+
 func (s *Server) drain() {
 	logger.Log(s.cfg.Logger, logger.ProcessDraining, zap.Int64("in_progress", s.handlers.Load()))
 	s.guard.leave()
@@ -173,6 +205,8 @@
 		logger.Log(s.cfg.Logger, a.event, a.fields...)
 	case changed:
 		s.changed.notify()
+	case throughFell:
+		logger.Log(s.cfg.Logger, logger.ThroughOffsetFell, zap.Uint64("from", a.from), zap.Uint64("to", a.to))
 	}
 }
 
--- a/internal/sidecarserver/state.go
+++ b/internal/sidecarserver/state.go
@@ -91,6 +91,8 @@
 	}
 	// changed wakes the control streams and the rollout.
 	changed struct{}
+	// throughFell reports a defect: the configuration would have moved back.
+	throughFell struct{ from, to uint64 }
 )
 
 func line(e logger.Event, fields ...zap.Field) logLine { return logLine{event: e, fields: fields} }
@@ -115,6 +117,11 @@
 	if s.kept, err = before.WithUpdate(u.update); err != nil {
 		return s, []controller.Action{line(logger.StateRefused, zap.String("entry", u.update.GetEntry()), zap.Error(err))}
 	}
+	if s.kept.State.Through() < before.State.Through() {
+		fell := throughFell{from: before.State.Through(), to: s.kept.State.Through()}
+		s.kept = before
+		return s, []controller.Action{fell}
+	}
 	actions := []controller.Action{changed{}, line(logger.StateMerged,
 		zap.String("entry", u.update.GetEntry()),
 		zap.Uint64("through_offset", s.kept.State.Through()),
--- a/pkg/provider/log.go
+++ b/pkg/provider/log.go
@@ -13,14 +13,21 @@
 	StreamConfiguration = "configuration"
 	// StreamSnapshots carries folded copies of the configuration stream.
 	StreamSnapshots = "snapshots"
-	// StreamClaims carries claims on idempotency keys.
+	// StreamClaims is the beginning of the names of the streams with claims on
+	// idempotency keys; see ClaimsStream.
 	StreamClaims = "claims"
 	// StreamFences carries the incarnations of sidecars.
 	StreamFences = "fences"
+	// StreamDeaths carries deaths of endpoints and what was in progress there.
+	StreamDeaths = "deaths"
 	// StreamAudit carries what became of requests and orders.
 	StreamAudit = "audit"
 )
 
+// ClaimsStream returns the name of a service's stream of claims. Each service has
+// its own, so that its sidecars read no others' claims.
+func ClaimsStream(service string) string { return StreamClaims + "-" + service }
+
 // Record is one entry of a log stream. Offsets start at 1 and have no holes
 // when they are written; retention removes the oldest ones.
 type Record struct {
--- a/pkg/router/pick.go
+++ b/pkg/router/pick.go
@@ -24,6 +24,8 @@
 
 // Config configures the policy of a choice.
 type Config struct {
+	// Policy is how to choose; empty is PolicyTwoChoices.
+	Policy Policy
 	Region string
 	// AffinityBound is how much dearer than the other choice the endpoint with
 	// the cached prefix may be, in shares of its capacity.
@@ -66,6 +68,9 @@
 	if q.OwnerKey != 0 {
 		return g.pickOwner(cfg, now, q)
 	}
+	if cfg.Policy != "" && cfg.Policy != PolicyTwoChoices {
+		return g.pickBy(cfg, now, q, t.turn.Add(1))
+	}
 	a := g.candidate(now, q, q.Random, nil)
 	if a == nil {
 		return Choice{}, false
@@ -115,13 +120,24 @@
 // candidate returns the first usable endpoint from a random place on, other
 // than not. If all are ejected, ejection is ignored.
 func (g *group) candidate(now time.Time, q Query, random uint64, not *Endpoint) *Endpoint {
-	n := len(g.endpoints)
-	hi, _ := bits.Mul64(random, uint64(n))
+	hi, _ := bits.Mul64(random, uint64(len(g.endpoints)))
 	start := int(hi)
+	e := g.from(start, now, q)
+	if e == nil || e != not {
+		return e
+	}
+	if e = g.from((start+1)%len(g.endpoints), now, q); e == not {
+		return nil
+	}
+	return e
+}
+
+// from returns the first usable endpoint from a place on.
+func (g *group) from(start int, now time.Time, q Query) *Endpoint {
 	var ejected *Endpoint
-	for i := range n {
-		e := g.endpoints[(start+i)%n]
-		if e == not || slices.Contains(q.Exclude, e.Instance) {
+	for i := range g.endpoints {
+		e := g.endpoints[(start+i)%len(g.endpoints)]
+		if slices.Contains(q.Exclude, e.Instance) {
 			continue
 		}
 		if !e.isEjected(now) {
@@ -131,12 +147,14 @@
 			ejected = e
 		}
 	}
-	if not != nil {
-		return nil
-	}
 	return ejected
 }
 
+// isExcluded tells whether an endpoint was tried already or is ejected.
+func (e *Endpoint) isExcluded(now time.Time, q Query) bool {
+	return e.isEjected(now) || slices.Contains(q.Exclude, e.Instance)
+}
+
 // onRing returns the first usable endpoint after key on the ring.
 func (g *group) onRing(now time.Time, q Query, key uint64) *Endpoint {
 	start, _ := slices.BinarySearchFunc(g.ring, key, func(p point, k uint64) int {
--- a/pkg/router/table.go
+++ b/pkg/router/table.go
@@ -83,12 +83,17 @@
 type Table struct {
 	groups map[Group]*group
 	stats  map[string]*stats
+	// turn counts the choices of PolicyRoundRobin over all tables.
+	turn *atomic.Uint64
 }
 
 // NewTable returns a table of endpoints. Counters of endpoints that prev knows
 // in the same incarnation are carried on; prev may be nil.
 func NewTable(endpoints []Endpoint, prev *Table) *Table {
-	t := &Table{groups: map[Group]*group{}, stats: map[string]*stats{}}
+	t := &Table{groups: map[Group]*group{}, stats: map[string]*stats{}, turn: new(atomic.Uint64)}
+	if prev != nil {
+		t.turn = prev.turn
+	}
 	for i := range endpoints {
 		e := endpoints[i]
 		e.stats = t.adoptStats(&e, prev)
--- /dev/null
+++ b/pkg/snapshotter/snapshotter.go
@@ -0,0 +1,58 @@
+// Package snapshotter decides when a process appends a snapshot of the accepted
+// configuration. Entries rank themselves for each snapshot and wait by rank, so
+// that usually one of them writes it and another one steps in when that is gone.
+package snapshotter
+
+import "time"
+
+// Config configures the decision.
+type Config struct {
+	// EveryRecords is after how many new offsets a snapshot is due.
+	EveryRecords uint64
+	// EveryTime is after what time a snapshot is due if there is anything new.
+	EveryTime time.Duration
+	// RankDelay is how long each rank waits for the one before it.
+	RankDelay time.Duration
+}
+
+// State is what a process knows of snapshots. It is immutable; the zero value
+// knows of none.
+type State struct {
+	// through is the highest through-offset of a snapshot in the log.
+	through uint64
+	at      time.Time
+	// dueSince is when a new snapshot became due, zero if none is.
+	dueSince time.Time
+}
+
+// WithSeen returns the state after a snapshot was seen in the log, or appended.
+// A lower through-offset, as of a writer that was paused, changes nothing.
+func (s State) WithSeen(now time.Time, through uint64) State {
+	if through < s.through {
+		return s
+	}
+	return State{through: through, at: now}
+}
+
+// Through returns the highest through-offset seen.
+func (s State) Through() uint64 { return s.through }
+
+// Decide tells whether a process of the given rank writes a snapshot now, when
+// its configuration reaches through.
+func (s State) Decide(cfg Config, now time.Time, through uint64, rank int) (State, bool) {
+	if !s.isDue(cfg, now, through) {
+		s.dueSince = time.Time{}
+		return s, false
+	}
+	if s.dueSince.IsZero() {
+		s.dueSince = now
+	}
+	return s, now.Sub(s.dueSince) >= time.Duration(rank)*cfg.RankDelay
+}
+
+func (s State) isDue(cfg Config, now time.Time, through uint64) bool {
+	if through <= s.through {
+		return false
+	}
+	return through-s.through >= cfg.EveryRecords || now.Sub(s.at) >= cfg.EveryTime
+}
