Read a stream's end at once, and check orders, publishes and plans by history

Cause: reads that wait eight seconds for records saved control traffic, and made a starting sidecar wait eight seconds before it knew that the claims stream was empty; until then it refused keyed calls. The at-most-once check failed on it. Change: the first read, and the first after an outage, does not wait.

--- a/internal/deployer/deployment_test.go
+++ b/internal/deployer/deployment_test.go
@@ -110,6 +110,7 @@
 func newKey() string { return uuid.Must(uuid.NewV7()).String() }
 
 func TestPublishedRecordEndsInAnsweredRequest(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := start(t, small(), deployer.Options{})
 	body := prompt("draft a delivery note")
@@ -129,6 +130,7 @@
 }
 
 func TestRepeatedOrderRunsOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := start(t, small(), deployer.Options{})
 	key, body := newKey(), []byte(`{"pallets":1}`)
@@ -150,6 +152,7 @@
 }
 
 func TestBadRequestsAreRefusedAsNotRun(t *testing.T) {
+	t.Parallel()
 	s := start(t, small(), deployer.Options{Entry: func(c *entryserver.Config) { c.MaxBodyBytes = 10_000 }})
 	old := uuid.Must(uuid.FromBytes([]byte{0x01, 0, 0, 0, 0, 0, 0x70, 0, 0x80, 0, 0, 0, 0, 0, 0, 1})).String()
 	for name, tc := range map[string]struct {
@@ -185,6 +188,7 @@
 // The promise about foreign and partial answers, with an endpoint that crosses
 // and truncates a third of its answers each.
 func TestCrossedAndTruncatedAnswersNeverPassForWhole(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := start(t, small(), deployer.Options{})
 	for _, e := range s.Endpoints {
@@ -209,6 +213,7 @@
 }
 
 func TestVersionChangesNeverMix(t *testing.T) {
+	t.Parallel()
 	for name, slots := range map[string]int{"beside the old version": 2, "in place of the old version": 1} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/deployer/once_test.go
+++ b/internal/deployer/once_test.go
@@ -295,6 +295,7 @@
 }
 
 func TestOrdersRunAtMostOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	problems, operations := runOnceSeeds(t, *onceSeeds, false)
 	for _, p := range problems {
@@ -305,6 +306,7 @@
 }
 
 func TestCheckCatchesSkippedClaims(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	problems, _ := runOnceSeeds(t, 40, true)
 	is.True(len(problems) > 0) // without claims some order runs twice
--- a/internal/keeper/tail.go
+++ b/internal/keeper/tail.go
@@ -21,13 +21,17 @@
 )
 
 // Tail reads a stream until ctx ends. from returns the offset to read next, and
-// take is given each page. An outage is logged once when it begins.
+// take is given each page. The first read, and the first one after an outage, does
+// not wait for records, so that the stream's end is known at once. An outage is
+// logged once when it begins.
 func Tail(ctx context.Context, log provider.Log, stream string, l *zap.Logger, from func() uint64, take func(provider.Page)) {
 	down := false
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		page, err := log.Read(ctx, stream, from(), PageLimit, pollWait)
+		page, err := log.Read(ctx, stream, from(), PageLimit, wait)
 		if err == nil {
 			down = false
+			wait = pollWait
 			take(page)
 			continue
 		}
@@ -35,6 +39,7 @@
 			logger.Log(l, logger.LogUnavailable, zap.String("stream", stream), zap.Error(err))
 		}
 		down = true
+		wait = 0
 		select {
 		case <-ctx.Done():
 		case <-time.After(pauseAfterError):
--- /dev/null
+++ b/internal/publisher/publisher_test.go
@@ -0,0 +1,262 @@
+package publisher_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/internal/emulator"
+	"flamingoledge.org/flamingoledge/internal/platformclient"
+	"flamingoledge.org/flamingoledge/internal/publisher"
+	"flamingoledge.org/flamingoledge/pkg/acceptor"
+	"flamingoledge.org/flamingoledge/pkg/provider"
+)
+
+const (
+	seeds      = 60
+	publishers = 6
+	publishes  = 3
+	subjects   = 2
+)
+
+// operation is a publish against a base, or a read when it has no base.
+type operation struct {
+	subject string
+	read    bool
+	base    uint64
+}
+
+// outcome is what the operator was told.
+type outcome struct {
+	// offset is the accepted record, or the one that is in force instead.
+	offset   uint64
+	accepted bool
+}
+
+// register is a versioned register: a publish wins if its base is the present
+// version, and a loser is told the version that beat it.
+func register() porcupine.Model {
+	return porcupine.Model{
+		Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+			parts := map[string][]porcupine.Operation{}
+			for _, op := range history {
+				s := op.Input.(operation).subject
+				parts[s] = append(parts[s], op)
+			}
+			var all [][]porcupine.Operation
+			for _, ops := range parts {
+				all = append(all, ops)
+			}
+			return all
+		},
+		Init: func() any { return uint64(0) },
+		Step: func(state, input, output any) (bool, any) {
+			now, in, out := state.(uint64), input.(operation), output.(outcome)
+			if in.read || !out.accepted {
+				return out.offset == now, now
+			}
+			return in.base == now, out.offset
+		},
+		Equal: func(a, b any) bool { return a == b },
+	}
+}
+
+type publishFunc func(ctx context.Context, log provider.Log, e acceptor.Envelope) (uint64, error)
+
+// blindPublish is the broken variant: it takes the append for the acceptance.
+func blindPublish(ctx context.Context, log provider.Log, e acceptor.Envelope) (uint64, error) {
+	data, err := json.Marshal(e)
+	if err != nil {
+		return 0, err
+	}
+	return log.Append(ctx, provider.StreamConfiguration, data)
+}
+
+type rig struct {
+	platform *emulator.Platform
+	address  string
+	started  time.Time
+
+	mu         sync.Mutex
+	operations []porcupine.Operation
+	unknown    map[string]porcupine.Operation
+}
+
+func newRig(t *testing.T, seed uint64) *rig {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &rig{
+		platform: emulator.NewPlatform(emulator.PlatformConfig{Seed: seed}), address: lis.Addr().String(),
+		started: time.Now(), unknown: map[string]porcupine.Operation{},
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = r.platform.Serve(ctx, lis)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return r
+}
+
+func (r *rig) client() *platformclient.Client {
+	return platformclient.New(platformclient.Config{Address: r.address, Timeout: 300 * time.Millisecond})
+}
+
+func (r *rig) now() int64 { return time.Since(r.started).Nanoseconds() }
+
+func (r *rig) note(call int64, in operation, out outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.operations = append(r.operations, porcupine.Operation{Input: in, Output: out, Call: call, Return: r.now()})
+}
+
+// operate lets one operator publish, each time against what it last learned.
+func (r *rig) operate(ctx context.Context, publish publishFunc, rng *rand.Rand) {
+	client := r.client()
+	base := map[string]uint64{}
+	for range publishes {
+		s := fmt.Sprint("workspace:w", rng.IntN(subjects))
+		e := acceptor.Envelope{
+			SchemaVersion: 1, RecordID: uuid.Must(uuid.NewV7()).String(), Subject: s, Base: base[s],
+			Body: json.RawMessage(`{"weight":1,"priority":0,"routes":[{"service":"orders"}]}`),
+		}
+		call := r.now()
+		in := operation{subject: s, base: base[s]}
+		ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		offset, err := publish(ctx, client, e)
+		cancel()
+		var conflict *publisher.ConflictError
+		var unknown *publisher.UnknownError
+		switch {
+		case err == nil:
+			base[s] = offset
+			r.note(call, in, outcome{offset: offset, accepted: true})
+		case errors.As(err, &conflict):
+			base[s] = conflict.WinnerOffset
+			r.note(call, in, outcome{offset: conflict.WinnerOffset})
+		case errors.As(err, &unknown):
+			r.mu.Lock()
+			r.unknown[e.RecordID] = porcupine.Operation{Input: in, Call: call, Return: 1 << 62}
+			r.mu.Unlock()
+		}
+	}
+}
+
+// watch reads the accepted state now and then, as processes do.
+func (r *rig) watch(ctx context.Context) {
+	client := r.client()
+	for ctx.Err() == nil {
+		call := r.now()
+		k, err := publisher.Load(ctx, client)
+		if err == nil {
+			for i := range subjects {
+				s := fmt.Sprint("workspace:w", i)
+				current, _ := k.State.Subject(s)
+				r.note(call, operation{subject: s, read: true}, outcome{offset: current.Offset})
+			}
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// settle adds the publishes whose outcome their operators did not learn and that
+// the log accepted after all.
+func (r *rig) settle() {
+	var records []acceptor.LogRecord
+	for _, rec := range r.platform.Records(provider.StreamConfiguration) {
+		records = append(records, acceptor.LogRecord{Offset: rec.Offset, Data: rec.Data})
+	}
+	_, outcomes := acceptor.State{}.WithRecords(records)
+	for _, o := range outcomes {
+		if op, ok := r.unknown[o.RecordID]; ok && o.Verdict == acceptor.VerdictAccepted {
+			op.Output = outcome{offset: o.Offset, accepted: true}
+			r.operations = append(r.operations, op)
+		}
+	}
+}
+
+// race runs one seed and tells whether its history is that of the register.
+func race(t *testing.T, publish publishFunc, seed uint64) bool {
+	r := newRig(t, seed)
+	rng := rand.New(rand.NewPCG(seed, 1))
+	r.platform.SetFaults(emulator.PlatformFaults{LogLoseAnswers: 0.3 * rng.Float64(), LogLatencyMillis: rng.IntN(4)})
+	ctx, stop := context.WithCancel(context.Background())
+	var operators, watchers sync.WaitGroup
+	watchers.Go(func() { r.watch(ctx) })
+	for p := range publishers {
+		operators.Go(func() { r.operate(context.Background(), publish, rand.New(rand.NewPCG(seed, uint64(p+2)))) })
+	}
+	if seed%3 == 0 {
+		time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
+		r.platform.SetFaults(emulator.PlatformFaults{LogDown: true})
+		time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
+		r.platform.SetFaults(emulator.PlatformFaults{})
+	}
+	operators.Wait()
+	stop()
+	watchers.Wait()
+	r.settle()
+	return porcupine.CheckOperations(register(), r.operations)
+}
+
+func TestOneWinnerForEachBase(t *testing.T) {
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			is.True(race(t, publisher.Publish, seed))
+		})
+	}
+}
+
+func TestCheckCatchesBlindPublishes(t *testing.T) {
+	is := is.New(t)
+	caught := 0
+	for seed := range uint64(10) {
+		if !race(t, blindPublish, seed) {
+			caught++
+		}
+	}
+	is.True(caught > 0)
+}
+
+func TestRepeatedPublishOfTheSameRecord(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1)
+	e := acceptor.Envelope{
+		SchemaVersion: 1, RecordID: "once", Subject: "workspace:w",
+		Body: json.RawMessage(`{"weight":1,"priority":0,"routes":[{"service":"orders"}]}`),
+	}
+	first, err := publisher.Publish(context.Background(), r.client(), e)
+	is.NoErr(err)
+	again, err := publisher.Publish(context.Background(), r.client(), e)
+	is.NoErr(err)
+	is.Equal(first, again)
+}
+
+func TestBadRecordIsNotAppended(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1)
+	_, err := publisher.Publish(context.Background(), r.client(), acceptor.Envelope{
+		SchemaVersion: 1, RecordID: "bad", Subject: "workspace:w", Body: json.RawMessage(`{"weight":0,"routes":[]}`),
+	})
+	is.True(err != nil)
+	is.Equal(len(r.platform.Records(provider.StreamConfiguration)), 0)
+}
--- /dev/null
+++ b/pkg/admitter/admitter_test.go
@@ -0,0 +1,133 @@
+package admitter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"flamingoledge.org/flamingoledge/pkg/admitter"
+)
+
+var start = time.Unix(1000, 0)
+
+func request(id uint64, workspace string, weight int) admitter.Request {
+	return admitter.Request{ID: id, Workspace: workspace, Weight: weight, Deadline: start.Add(time.Hour)}
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	is := is.New(t)
+	q := admitter.New(admitter.Config{Limit: 1, MaxWaiting: 1000})
+	is.Equal(q.Offer(start, request(0, "first", 1)), admitter.VerdictAdmitted)
+	owner := map[uint64]string{}
+	for i := uint64(1); i <= 200; i++ {
+		w, weight := "small", 1
+		if i%2 == 0 {
+			w, weight = "large", 3
+		}
+		owner[i] = w
+		is.Equal(q.Offer(start, request(i, w, weight)), admitter.VerdictQueued)
+	}
+	served := map[string]int{}
+	for range 80 {
+		started, late := q.Release(start, time.Millisecond)
+		is.Equal(len(started), 1)
+		is.Equal(len(late), 0)
+		served[owner[started[0]]]++
+	}
+	is.True(served["large"] >= 58 && served["large"] <= 62) // three of four
+}
+
+func TestLoudWorkspaceWaitsBehindItself(t *testing.T) {
+	is := is.New(t)
+	q := admitter.New(admitter.Config{Limit: 1, MaxWaiting: 1000})
+	q.Offer(start, request(0, "loud", 1))
+	for i := uint64(1); i <= 100; i++ {
+		q.Offer(start, request(i, "loud", 1))
+	}
+	q.Offer(start, request(1000, "quiet", 1))
+	for range 3 {
+		if started, _ := q.Release(start, time.Millisecond); started[0] == 1000 {
+			return
+		}
+	}
+	is.Fail() // the quiet workspace waited behind more than two requests
+}
+
+func TestLimitsAndDeadlines(t *testing.T) {
+	for name, tc := range map[string]struct {
+		waiting  int
+		deadline time.Duration
+		verdict  admitter.Verdict
+	}{
+		"room to wait":      {0, time.Hour, admitter.VerdictQueued},
+		"too many waiting":  {5, time.Hour, admitter.VerdictFull},
+		"deadline passed":   {0, 0, admitter.VerdictLate},
+		"would be too late": {4, 10 * time.Millisecond, admitter.VerdictLate},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := admitter.New(admitter.Config{Limit: 1, MaxWaiting: 5})
+			q.Offer(start, request(1, "w", 1))
+			q.Release(start, time.Second) // a request takes a second
+			q.Offer(start, request(2, "w", 1))
+			for i := range tc.waiting {
+				q.Offer(start, request(uint64(10+i), "w", 1))
+			}
+			r := request(99, "w", 1)
+			r.Deadline = start.Add(tc.deadline)
+			is.Equal(q.Offer(start, r), tc.verdict)
+		})
+	}
+}
+
+func TestNothingIsLostOrStartedTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		limit := rapid.IntRange(1, 4).Draw(t, "limit")
+		q := admitter.New(admitter.Config{Limit: limit, MaxWaiting: 10})
+		state := map[uint64]string{}
+		running := 0
+		note := func(started, late []uint64) {
+			for _, id := range started {
+				is.Equal(state[id], "queued")
+				state[id] = "running"
+				running++
+			}
+			for _, id := range late {
+				is.Equal(state[id], "queued")
+				state[id] = "late"
+			}
+		}
+		now := start
+		for id := uint64(1); id < 60; id++ {
+			now = now.Add(time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				r := request(id, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "w"), 1)
+				r.Deadline = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
+				switch q.Offer(now, r) {
+				case admitter.VerdictAdmitted:
+					state[id] = "running"
+					running++
+				case admitter.VerdictQueued:
+					state[id] = "queued"
+				}
+			case 2:
+				if running > 0 {
+					running--
+					note(q.Release(now, time.Millisecond))
+				}
+			case 3:
+				victim := uint64(rapid.IntRange(1, 60).Draw(t, "victim"))
+				is.Equal(q.Abandon(victim), state[victim] == "queued")
+				if state[victim] == "queued" {
+					state[victim] = "abandoned"
+				}
+			}
+			is.Equal(q.Running(), running)
+			is.True(running <= limit)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/assembler/example_test.go
@@ -0,0 +1,28 @@
+package assembler_test
+
+import (
+	"bytes"
+	"fmt"
+
+	"flamingoledge.org/flamingoledge/pkg/assembler"
+	"flamingoledge.org/flamingoledge/pkg/chunker"
+)
+
+// Chunks enter verified, in any order, and leave as the whole.
+func Example() {
+	weights := bytes.Repeat([]byte("weights "), 512)
+	m, err := chunker.Split("notes", "v1", weights, chunker.MinChunkBytes)
+	if err != nil {
+		return
+	}
+	a := assembler.New("digest", m)
+	for i := len(m.Chunks) - 1; i >= 0; i-- {
+		chunk := weights[m.ChunkOffset(i):][:m.ChunkLen(i)]
+		if _, err = a.Put(i, chunk); err != nil {
+			return
+		}
+	}
+	_, err = a.Put(0, []byte("something else"))
+	fmt.Println(a.Complete(), a.VerifyWhole(), err != nil)
+	// Output: true <nil> true
+}
--- /dev/null
+++ b/pkg/chunker/example_test.go
@@ -0,0 +1,20 @@
+package chunker_test
+
+import (
+	"fmt"
+
+	"flamingoledge.org/flamingoledge/pkg/chunker"
+)
+
+// A manifest is named by its digest and refuses any other chunk.
+func Example() {
+	m, err := chunker.Split("notes", "v1", make([]byte, 2500), chunker.MinChunkBytes)
+	if err != nil {
+		return
+	}
+	fmt.Println(len(m.Chunks), m.ChunkLen(0), m.ChunkLen(2))
+	fmt.Println(m.Verify(0, make([]byte, 1024)), m.Verify(2, make([]byte, 1024)) != nil)
+	// Output:
+	// 3 1024 452
+	// <nil> true
+}
--- /dev/null
+++ b/pkg/claimer/example_test.go
@@ -0,0 +1,32 @@
+package claimer_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"flamingoledge.org/flamingoledge/pkg/claimer"
+	"flamingoledge.org/flamingoledge/pkg/provider"
+)
+
+// Two sidecars claim the same key; the lower offset of the log owns it.
+func Example() {
+	now := time.Unix(1000, 0)
+	key := claimer.Key{Workspace: "market", Service: "orders", IdempotencyKey: "k"}
+	var records []provider.Record
+	for i, attempt := range []string{"first", "second"} {
+		data, err := claimer.Entry{Kind: claimer.KindClaim, Key: key, AttemptID: attempt}.Encode()
+		if err != nil {
+			return
+		}
+		records = append(records, provider.Record{Offset: uint64(i + 1), AppendedAt: now, Data: json.RawMessage(data)})
+	}
+	l := claimer.New(claimer.Config{Window: time.Minute, ClockSkew: time.Second})
+	l.Apply(now, provider.Page{FirstRetained: 1, Next: 3, Records: records})
+	standing, _ := l.Standing(key)
+	fmt.Println(standing.Entry.AttemptID, "owns the key at offset", standing.Offset)
+	fmt.Println(l.CheckAge(now, now.Add(-time.Hour)) != nil)
+	// Output:
+	// first owns the key at offset 1
+	// true
+}
--- /dev/null
+++ b/pkg/controller/example_test.go
@@ -0,0 +1,50 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"flamingoledge.org/flamingoledge/pkg/controller"
+)
+
+type counted struct{ n int }
+
+type counter struct{}
+
+// Handle implements controller.Controller.
+func (counter) Handle(_ time.Time, s counted, e controller.Event) (counted, []controller.Action) {
+	if add, ok := e.(int); ok {
+		s.n += add
+	}
+	return s, []controller.Action{s.n}
+}
+
+// The control goroutine alone changes the state; others post events and read
+// views.
+func Example() {
+	performed := make(chan controller.Action, 2)
+	b := controller.New(controller.Config[counted]{
+		Controllers:  []controller.Controller[counted]{counter{}},
+		QueueLength:  8,
+		TickInterval: time.Hour,
+		Clock:        time.Now,
+		Perform:      func(a controller.Action) { performed <- a },
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	b.Post(2)
+	b.Post(3)
+	go b.Run(ctx)
+	fmt.Println(<-performed, <-performed, b.View().n)
+	// Output: 2 5 5
+}
+
+// A full queue drops an event and says so.
+func ExampleBoard_Post_full() {
+	b := controller.New(controller.Config[counted]{QueueLength: 1, Dropped: func(e controller.Event) { fmt.Println("dropped", e) }})
+	fmt.Println(b.Post(1), b.Post(2))
+	// Output:
+	// dropped 2
+	// true false
+}
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -31,8 +31,9 @@
 // Placement maps instances to the models that they hold, sorted by name.
 type Placement map[string][]string
 
-// Place assigns models to members. First each model gets its minimum, then the
-// slots that are left go to the models in most demand up to their maximum.
+// Place assigns models to members. First each model gets its minimum, one replica
+// in each round, so that none is left out where slots are short; then the slots
+// that are left go to the models in most demand up to their maximum.
 func Place(models []Model, members []Member) Placement {
 	models = slices.Clone(models)
 	slices.SortFunc(models, func(a, b Model) int { return cmp.Compare(a.Name, b.Name) })
@@ -47,15 +48,24 @@
 		a.ranked[m.Name] = ranker.Top(m.Name, names, len(names))
 		a.held[m.Name] = map[string]struct{}{}
 	}
-	for _, m := range models {
-		for range m.MinReplicas {
-			a.addReplica(m.Name)
+	for round := range mostNeeded(models) {
+		for _, m := range models {
+			if round < m.MinReplicas {
+				a.addReplica(m.Name)
+			}
 		}
 	}
 	a.fill(models)
 	return a.placement()
 }
 
+func mostNeeded(models []Model) (n int) {
+	for _, m := range models {
+		n = max(n, m.MinReplicas)
+	}
+	return n
+}
+
 type assignment struct {
 	free   map[string]int
 	held   map[string]map[string]struct{}
--- /dev/null
+++ b/pkg/planner/planner_test.go
@@ -0,0 +1,148 @@
+package planner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"flamingoledge.org/flamingoledge/pkg/chunker"
+	"flamingoledge.org/flamingoledge/pkg/planner"
+)
+
+const (
+	takeover     = time.Second
+	chunkTimeout = time.Second
+	step         = 50 * time.Millisecond
+)
+
+// world plays the part of the transfers: what a planner asks for arrives in the
+// next step, unless its source is dead or lies.
+type world struct {
+	now      time.Time
+	chunks   int
+	members  []planner.Member
+	planners map[string]*planner.Planner
+	held     map[string]chunker.IndexSet
+	dead     map[string]bool
+	fromFar  map[string]int
+	origin   map[int]int
+}
+
+func newWorld(regions, perRegion, chunks, ranks int, seed uint64) *world {
+	w := &world{
+		now: time.Unix(1000, 0), chunks: chunks, planners: map[string]*planner.Planner{}, held: map[string]chunker.IndexSet{},
+		dead: map[string]bool{}, fromFar: map[string]int{}, origin: map[int]int{},
+	}
+	for r := range regions {
+		for i := range perRegion {
+			w.members = append(w.members, planner.Member{Instance: fmt.Sprintf("r%d-%d", r, i), Region: fmt.Sprintf("r%d", r)})
+		}
+	}
+	for i, m := range w.members {
+		w.held[m.Instance] = chunker.NewIndexSet(chunks)
+		w.planners[m.Instance] = planner.New(planner.Config{
+			Self: m, VersionDigest: "v", Chunks: chunks, OriginRegion: "r0", OriginRanks: ranks, EagerRanks: 1,
+			Neighbors: 4, PeerWindow: 2, OriginWindow: 4, TotalWindow: 8, TakeoverAfter: takeover, ChunkTimeout: chunkTimeout,
+			Rand: rand.New(rand.NewPCG(seed, uint64(i))),
+		}, w.now, w.held[m.Instance])
+	}
+	w.tellMembers()
+	return w
+}
+
+func (w *world) tellMembers() {
+	var live []planner.Member
+	for _, m := range w.members {
+		if !w.dead[m.Instance] {
+			live = append(live, m)
+		}
+	}
+	for _, p := range w.planners {
+		p.SetMembers(live)
+	}
+}
+
+// run steps until all live members are complete, and returns how many did not.
+func (w *world) run(steps int) (unfinished int) {
+	for range steps {
+		w.now = w.now.Add(step)
+		unfinished = 0
+		for _, m := range w.members {
+			if !w.dead[m.Instance] && !w.planners[m.Instance].Complete() {
+				unfinished++
+				w.stepOne(m)
+			}
+		}
+		if unfinished == 0 {
+			return 0
+		}
+	}
+	return unfinished
+}
+
+func (w *world) stepOne(m planner.Member) {
+	p := w.planners[m.Instance]
+	for _, peer := range p.Peers(w.now) {
+		if w.dead[peer.Instance] {
+			p.PeerGone(peer.Instance)
+			continue
+		}
+		for i := range w.chunks {
+			if w.held[peer.Instance].Has(i) && (peer.Wanted == nil || peer.Wanted.Has(i)) {
+				p.PeerGained(peer.Instance, i)
+			}
+		}
+	}
+	for _, f := range p.Next(w.now) {
+		if !f.FromOrigin() && w.dead[f.Peer] {
+			p.Failed(w.now, f, planner.FailureUnavailable)
+			continue
+		}
+		if f.FromOrigin() {
+			w.origin[f.Index]++
+		} else if f.Peer[:2] != m.Instance[:2] {
+			w.fromFar[f.Peer[:2]+m.Instance[:2]]++
+		}
+		w.held[m.Instance].Add(f.Index)
+		p.Done(w.now, f)
+	}
+}
+
+func TestEveryMemberCompletesWithOneCopy(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		regions := rapid.IntRange(1, 4).Draw(t, "regions")
+		w := newWorld(regions, rapid.IntRange(1, 8).Draw(t, "members"), rapid.IntRange(1, 60).Draw(t, "chunks"), 2, rapid.Uint64().Draw(t, "seed"))
+		is.Equal(w.run(400), 0)
+		for i := range w.chunks {
+			is.Equal(w.origin[i], 1) // each chunk leaves the origin once
+		}
+		// Each link out of the origin's region carries its even share of one copy.
+		for r := 1; r < regions; r++ {
+			got := w.fromFar["r0"+fmt.Sprint("r", r)]
+			share := w.chunks / (regions - 1)
+			is.True(got == share || got == share+1)
+		}
+	})
+}
+
+func TestDeathsAreTakenOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		w := newWorld(rapid.IntRange(1, 3).Draw(t, "regions"), rapid.IntRange(4, 8).Draw(t, "members"), 40, 2, rapid.Uint64().Draw(t, "seed"))
+		w.run(rapid.IntRange(1, 4).Draw(t, "steps"))
+		w.dead[w.members[rapid.IntRange(0, len(w.members)-1).Draw(t, "dies")].Instance] = true
+		w.run(40) // the list still has the dead member
+		w.tellMembers()
+		is.Equal(w.run(400), 0)
+		total := 0
+		for _, n := range w.origin {
+			total += n
+		}
+		is.True(total <= 2*w.chunks) // two ranks read a chunk at most
+	})
+}
--- /dev/null
+++ b/pkg/quarantiner/example_test.go
@@ -0,0 +1,41 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"time"
+
+	"flamingoledge.org/flamingoledge/pkg/provider"
+	"flamingoledge.org/flamingoledge/pkg/quarantiner"
+)
+
+// A death in company makes suspects; a suspect that ends well alone is cleared,
+// and one under which endpoints die alone is convicted.
+func Example() {
+	now := time.Unix(1000, 0)
+	l := quarantiner.New(quarantiner.Config{Keep: time.Hour})
+	offset := uint64(0)
+	apply := func(kind quarantiner.Kind, fs ...quarantiner.Fingerprint) {
+		offset++
+		data, err := quarantiner.Entry{Kind: kind, Endpoint: "e", Epoch: offset, Fingerprints: fs}.Encode()
+		if err != nil {
+			return
+		}
+		l.Apply(now, provider.Page{FirstRetained: 1, Next: offset + 1, Records: []provider.Record{{Offset: offset, AppendedAt: now, Data: data}}})
+	}
+	show := func() {
+		bad, _ := l.Standing("bad")
+		good, _ := l.Standing("good")
+		fmt.Println(bad == quarantiner.StandingConvicted, good == quarantiner.StandingClear)
+	}
+	apply(quarantiner.KindDeath, "bad", "good")
+	show()
+	apply(quarantiner.KindCleared, "good")
+	apply(quarantiner.KindDeath, "bad")
+	show()
+	apply(quarantiner.KindDeath, "bad")
+	show()
+	// Output:
+	// false false
+	// false true
+	// true true
+}
--- /dev/null
+++ b/pkg/router/router_test.go
@@ -0,0 +1,121 @@
+package router_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/pkg/router"
+)
+
+var (
+	now   = time.Unix(1000, 0)
+	group = router.Group{Service: "engine", VersionDigest: "v"}
+	cfg   = router.Config{Region: "a", AffinityBound: 0.5, RegionPenalty: 0.05, SlowStart: time.Second}
+)
+
+func endpoints(n int) []router.Endpoint {
+	es := make([]router.Endpoint, n)
+	for i := range es {
+		es[i] = router.Endpoint{
+			Instance: fmt.Sprintf("e%02d", i), Region: "a", Service: "engine", Versions: []string{"v"},
+			Load: router.Load{Capacity: 8}, JoinedAt: now.Add(-time.Hour),
+		}
+	}
+	return es
+}
+
+func TestOwnAttemptsCorrectAnOldReport(t *testing.T) {
+	is := is.New(t)
+	table := router.NewTable(endpoints(16), nil)
+	sent := map[string]int{}
+	for range 160 {
+		c, ok := table.Pick(cfg, now, router.Query{Group: group, Random: rand.Uint64()})
+		is.True(ok)
+		c.Endpoint.Begin()
+		sent[c.Endpoint.Instance]++
+	}
+	for _, n := range sent {
+		is.True(n <= 14) // ten each, though every report says idle
+	}
+}
+
+func TestAffinityHoldsWithinTheBound(t *testing.T) {
+	is := is.New(t)
+	table := router.NewTable(endpoints(8), nil)
+	q := router.Query{Group: group, AffinityKey: 12345}
+	first, _ := table.Pick(cfg, now, q)
+	is.Equal(first.Reason, router.ReasonAffinity)
+	for i := range 40 {
+		q.Random = rand.Uint64()
+		c, ok := table.Pick(cfg, now, q)
+		is.True(ok)
+		c.Endpoint.Begin()
+		if c.Reason != router.ReasonAffinity {
+			is.True(c.Endpoint.Instance != first.Endpoint.Instance)
+			is.True(i >= 4) // not before the bound of half the capacity
+			return
+		}
+	}
+	is.Fail() // the favourite endpoint took everything
+}
+
+func TestFailingEndpointIsEjectedForAWhile(t *testing.T) {
+	is := is.New(t)
+	table := router.NewTable(endpoints(4), nil)
+	sick, ok := table.Find(group, "e02")
+	is.True(ok)
+	for range 3 {
+		sick.Begin()
+		table.End(now, group, sick, false)
+	}
+	for range 200 {
+		c, ok := table.Pick(cfg, now, router.Query{Group: group, Random: rand.Uint64(), AffinityKey: rand.Uint64()})
+		is.True(ok)
+		is.True(c.Endpoint.Instance != "e02")
+	}
+	later := now.Add(time.Minute)
+	back := false
+	for range 200 {
+		c, _ := table.Pick(cfg, later, router.Query{Group: group, Random: rand.Uint64()})
+		back = back || c.Endpoint.Instance == "e02"
+	}
+	is.True(back)
+}
+
+func TestSomeEndpointIsAlwaysLeft(t *testing.T) {
+	is := is.New(t)
+	table := router.NewTable(endpoints(4), nil)
+	for i := range 4 {
+		e, _ := table.Find(group, fmt.Sprintf("e%02d", i))
+		for range 3 {
+			e.Begin()
+			table.End(now, group, e, false)
+		}
+	}
+	_, ok := table.Pick(cfg, now, router.Query{Group: group, Random: 1})
+	is.True(ok)
+	_, ok = table.Pick(cfg, now, router.Query{Group: group, Exclude: []string{"e00", "e01", "e02", "e03"}})
+	is.True(!ok)
+	_, ok = table.Pick(cfg, now, router.Query{Group: router.Group{Service: "none"}})
+	is.True(!ok)
+}
+
+func TestCopiesOfAKeyMeet(t *testing.T) {
+	is := is.New(t)
+	all := endpoints(8)
+	a, b := router.NewTable(all, nil), router.NewTable(all[:6], nil)
+	same := 0
+	for key := range uint64(100) {
+		q := router.Query{Group: group, OwnerKey: (key + 1) * 0x9e3779b97f4a7c15, Random: rand.Uint64()}
+		x, _ := a.Pick(cfg, now, q)
+		y, _ := b.Pick(cfg, now, q)
+		if x.Endpoint.Instance == y.Endpoint.Instance {
+			same++
+		}
+	}
+	is.True(same >= 60) // a differing list moves only the missing endpoints' keys
+}
