Queue in the entry by shares, and learn load from answers

Cause: (1) the time that requests waited counted as service time, so deadlines were judged far too pessimistically; (2) reports of load lag by a second, so two entries together admitted twice what the endpoints hold, and the excess waited there outside of any share; (3) a workspace below its share waited for a place behind others. Ruled out: affinity and ejection (the same without them). Change: sidecars send their load with each final word and hold no queue; a refusal there is retried elsewhere at once without touching the retry budget, and makes the entry's window smaller; the cheapest of four endpoints is taken; workspaces above their share leave a tenth of the places to the others; requests that can't end before their deadline are refused.

--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -247,6 +247,7 @@
 	cutAt      int
 	firstToken time.Duration
 	interval   time.Duration
+	due        time.Time
 	index      int
 	pending    []byte
 	ended      bool
@@ -288,13 +289,16 @@
 	return nil
 }
 
+// wait sleeps until the next token is due. Due times follow from the start, so
+// that late wake-ups do not add up.
 func (a *answerReader) wait() {
 	switch {
 	case a.index == a.first:
-		time.Sleep(a.firstToken)
+		a.due = time.Now().Add(a.firstToken)
 	case a.index < a.tokens:
-		time.Sleep(a.interval)
+		a.due = a.due.Add(a.interval)
 	}
+	time.Sleep(time.Until(a.due))
 }
 
 // Close implements io.Closer; fasthttp calls it at the end, whole or not.
--- a/internal/entryserver/attempt.go
+++ b/internal/entryserver/attempt.go
@@ -50,6 +50,8 @@
 	whole    bool
 	replayed bool
 	ended    bool
+	// load is what the sidecar reported with its final word.
+	load *messenger.Load
 }
 
 // begin sends a call to an endpoint and waits for the first piece of its answer.
@@ -155,6 +157,9 @@
 		return nil, lost(err)
 	}
 	a.replayed = a.replayed || reply.GetReplayed()
+	if reply.Load != nil {
+		a.load = reply.GetLoad()
+	}
 	switch reply.GetOutcome() {
 	case messenger.Outcome_OUTCOME_STARTED:
 		return reply.GetData(), nil
@@ -183,6 +188,9 @@
 	if table.End(time.Now(), a.group, a.endpoint, !blamed) {
 		logger.Log(s.cfg.Logger, logger.EndpointEjected, zap.String("endpoint", a.endpoint.Instance))
 	}
+	if a.load != nil {
+		a.endpoint.Answered(int(a.load.GetRunning()))
+	}
 	clean := a.whole || (failure != nil && failure.outcome != messenger.Outcome_OUTCOME_UNKNOWN)
 	if a.conn != nil && a.stream != nil && clean && a.drained() {
 		a.cancel()
@@ -224,6 +232,9 @@
 			return a, nil
 		}
 		c.noteDeath(failure)
+		if failure.reason == refuser.ReasonOverloaded {
+			s.windows.of(c.service).refused()
+		}
 		if failure.outcome == messenger.Outcome_OUTCOME_UNKNOWN {
 			unknown = failure
 		}
@@ -303,6 +314,9 @@
 		s.logWithheld(c, failure, "final")
 		return false
 	}
+	if isHarmless(failure.reason) {
+		retry = s.retries.of(c.service).RetryUnrun
+	}
 	pause, why := retry(time.Now(), c.deadline, c.attempts)
 	if why != "" {
 		s.logWithheld(c, failure, string(why))
--- a/internal/entryserver/call.go
+++ b/internal/entryserver/call.go
@@ -49,6 +49,7 @@
 	key       string
 	body      []byte
 	arrived   time.Time
+	admitted  time.Time
 	deadline  time.Time
 	target    interpreter.Target
 	// version is the version that the call is pinned to.
--- a/internal/entryserver/config.go
+++ b/internal/entryserver/config.go
@@ -62,7 +62,7 @@
 	DefaultDrainTimeout      = 30 * time.Second
 	DefaultHeartbeatTimeout  = 3 * time.Second
 	DefaultMaxWaiting        = 1000
-	DefaultOvercommit        = 1.25
+	DefaultOvercommit        = 1.0
 	DefaultTrafficGoroutines = 10_000
 )
 
--- a/internal/entryserver/final.go
+++ b/internal/entryserver/final.go
@@ -43,3 +43,9 @@
 func isFinal(reason string) bool {
 	return reason == refuser.ReasonExpired || reason == refuser.ReasonKeyAge || reason == refuser.ReasonKeyReused || reason == refuser.ReasonConvicted
 }
+
+// isHarmless tells whether a refusal came from a sidecar that did not even try,
+// so that another attempt adds nothing to the endpoints' load.
+func isHarmless(reason string) bool {
+	return reason == refuser.ReasonOverloaded || reason == refuser.ReasonLeaving || reason == refuser.ReasonVersion
+}
--- a/internal/entryserver/gate.go
+++ b/internal/entryserver/gate.go
@@ -81,10 +81,10 @@
 }
 
 // leave ends a request that was admitted after it took some time.
-func (g *gate) leave(now time.Time, limit int, taken time.Duration) {
+func (g *gate) leave(now time.Time, limit int, workspace string, taken time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.wake(g.queue.Release(now, taken))
+	g.wake(g.queue.Release(now, workspace, taken))
 	g.wake(g.queue.SetLimit(now, limit))
 }
 
--- a/internal/entryserver/handler.go
+++ b/internal/entryserver/handler.go
@@ -94,8 +94,7 @@
 
 // admit waits for the call's turn.
 func (s *Server) admit(c *call) *Problem {
-	v := s.board.View()
-	verdict := s.gates.of(c.service).enter(c.arrived, v.limits[c.service], admitter.Request{
+	verdict := s.gates.of(c.service).enter(c.arrived, s.limit(c.service), admitter.Request{
 		Workspace: c.workspace,
 		Weight:    c.target.Workspace.Weight,
 		Priority:  c.target.Workspace.Priority,
@@ -103,6 +102,7 @@
 	})
 	switch verdict {
 	case admitter.VerdictAdmitted:
+		c.admitted = time.Now()
 		return nil
 	case admitter.VerdictFull:
 		return notRun(fasthttp.StatusTooManyRequests, CodeOverloaded, overloadRetryAfter, "workspace %s has too many requests waiting", c.workspace)
@@ -113,7 +113,7 @@
 
 func (s *Server) leave(c *call) {
 	now := time.Now()
-	s.gates.of(c.service).leave(now, s.board.View().limits[c.service], now.Sub(c.arrived))
+	s.gates.of(c.service).leave(now, s.limit(c.service), c.workspace, now.Sub(c.admitted))
 }
 
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, c *call, p *Problem) {
@@ -165,6 +165,7 @@
 
 func (s *Server) logAnswered(c *call) {
 	s.metrics.Add("answered", 1)
+	s.windows.of(c.service).answered()
 	s.auditCall(c, OutcomeAnswered, "")
 	logger.Log(s.cfg.Logger, logger.RequestAnswered,
 		zap.String("request_id", c.requestID), zap.String("attempt_id", c.attemptID), zap.String("workspace", c.workspace),
--- a/internal/entryserver/membership.go
+++ b/internal/entryserver/membership.go
@@ -18,7 +18,6 @@
 // membershipController keeps the attached sidecars and the table of endpoints.
 type membershipController struct {
 	heartbeatTimeout time.Duration
-	overcommit       float64
 }
 
 // Handle implements controller.Controller.
@@ -43,11 +42,11 @@
 	}
 	s.table = router.NewTable(endpoints(s), s.table)
 	if hb, ok := e.(heartbeatCame); ok {
-		s.table.Reported(hb.heartbeat.GetInstance(), hb.heartbeat.GetIncarnation())
+		h := hb.heartbeat
+		s.table.Reported(h.GetInstance(), h.GetIncarnation(), int(h.GetLoad().GetRunning()+h.GetLoad().GetQueued()))
 	}
 	s.switched = switchedModels(s)
-	services := slices.Collect(maps.Keys(s.kept.Config.Services))
-	s.limits = limitsOf(s.table, services, liveEntries(s.instances), c.overcommit)
+	s.entries = liveEntries(s.instances)
 	return s, actions
 }
 
--- a/internal/entryserver/server.go
+++ b/internal/entryserver/server.go
@@ -45,6 +45,7 @@
 	pool    *ants.Pool
 	conns   connector.Pool
 	gates   gates
+	windows windows
 	retries retryBudgets
 	changed broadcast
 	watcher *watcher.Watcher
@@ -76,7 +77,7 @@
 		},
 		Controllers: []controller.Controller[state]{
 			configurationController{},
-			membershipController{heartbeatTimeout: cfg.HeartbeatTimeout, overcommit: cfg.Overcommit},
+			membershipController{heartbeatTimeout: cfg.HeartbeatTimeout},
 		},
 		QueueLength:  controlQueue,
 		TickInterval: tickInterval,
--- a/internal/entryserver/state.go
+++ b/internal/entryserver/state.go
@@ -21,8 +21,8 @@
 	// switched holds, for each model, the record offset under which enough
 	// endpoints were seen to serve the new version.
 	switched map[string]uint64
-	// limits holds how many requests of each service may be in progress here.
-	limits map[string]int
+	// entries counts the live entries of the platform's list.
+	entries int
 }
 
 // sidecar is an attached sidecar as its last heartbeat describes it.
--- a/internal/measurer/overhead.go
+++ b/internal/measurer/overhead.go
@@ -23,7 +23,7 @@
 	return withRig(ctx, cfg, t, deployer.Options{}, func(ctx context.Context, rg *rig) error {
 		for _, callers := range []int{1, 64, 1000} {
 			through := rg.closedLoop(ctx, cfg, callers, rg.callThrough)
-			direct := rg.closedLoop(ctx, cfg, callers, rg.callDirect)
+			direct := rg.closedLoop(ctx, cfg, callers, func(c, i int) bool { return rg.callDirect(c, i, overheadTokens) })
 			r.add(fmt.Sprintf("entry_overhead_ratio_%d", callers), through.at(50).Seconds()/direct.at(50).Seconds(), "ratio", Lower)
 			r.add(fmt.Sprintf("entry_p50_seconds_%d", callers), through.at(50).Seconds(), "s", Lower).against(direct.at(50).Seconds())
 			r.add(fmt.Sprintf("entry_requests_%d", callers), float64(through.count()), "requests", Higher).against(float64(direct.count()))
@@ -62,10 +62,10 @@
 }
 
 // callDirect calls the stand-in as the sidecar does.
-func (r *rig) callDirect(c, i int) bool {
+func (r *rig) callDirect(c, i, tokens int) bool {
 	client := r.direct(c)
 	_, err := client.Run(context.Background(), endpointclient.Request{
-		RequestID: "r", AttemptID: fmt.Sprint(c, "-", i), VersionDigest: r.digest, Stream: true, Body: prompt(c, i, overheadTokens),
+		RequestID: "r", AttemptID: fmt.Sprint(c, "-", i), VersionDigest: r.digest, Stream: true, Body: prompt(c, i, tokens),
 	}, func([]byte) error { return nil })
 	return err == nil
 }
--- a/internal/sidecarserver/rollout.go
+++ b/internal/sidecarserver/rollout.go
@@ -24,8 +24,6 @@
 	// previousLinger is how long the previous version stays beside the new one,
 	// so that entries have switched before it goes.
 	previousLinger = 5 * time.Second
-	// queueFactor times its concurrency is how many attempts an endpoint gets.
-	queueFactor = 2
 )
 
 // rollout brings the endpoint to what the placement asks for. Its reconcile loop
@@ -76,7 +74,9 @@
 	if !ok {
 		return
 	}
-	r.server.guard.setLimit(service.Body.EndpointConcurrency * queueFactor)
+	// What finds no place here is not queued, but tried elsewhere or kept in the
+	// entry's queue, where workspaces have their shares.
+	r.server.guard.setLimit(service.Body.EndpointConcurrency)
 	if service.Body.Kind == interpreter.ServicePlain {
 		r.reconcilePlain(v)
 		return
--- a/internal/sidecarserver/run.go
+++ b/internal/sidecarserver/run.go
@@ -68,7 +68,7 @@
 // blame tells the entry that the endpoint is at fault.
 func (s *Server) replyNotRun(stream messenger.DRPCExecution_RunStream, reason string, blame bool) error {
 	s.metrics.Add("not_run", 1)
-	reply := &messenger.RunReply{Outcome: messenger.Outcome_OUTCOME_NOT_RUN, Reason: reason}
+	reply := &messenger.RunReply{Outcome: messenger.Outcome_OUTCOME_NOT_RUN, Reason: reason, Load: s.loadWithout(0)}
 	if blame {
 		reply.Status = 1
 	}
@@ -111,6 +111,7 @@
 	if err == nil {
 		return stream.Send(&messenger.RunReply{
 			Outcome: messenger.Outcome_OUTCOME_WHOLE, Frames: uint32(a.Frames), Data: a.End, VersionDigest: req.GetVersionDigest(),
+			Load: s.loadWithout(1),
 		})
 	}
 	s.noteFailure(req, err)
@@ -118,7 +119,13 @@
 		s.cancelRun(req)
 	}
 	r := asResult(err)
-	return stream.Send(&messenger.RunReply{Outcome: r.outcome, Reason: r.reason, Status: 1})
+	return stream.Send(&messenger.RunReply{Outcome: r.outcome, Reason: r.reason, Status: 1, Load: s.loadWithout(1)})
+}
+
+// loadWithout returns the present load without so many attempts that end now.
+func (s *Server) loadWithout(ending int) *messenger.Load {
+	_, running := s.guard.inProgress("")
+	return &messenger.Load{Running: uint32(max(running-ending, 0))}
 }
 
 // enter lets an attempt through to the endpoint, alone if it must be. A suspect
--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -4,7 +4,6 @@
 package admitter
 
 import (
-	"container/heap"
 	"time"
 )
 
@@ -33,43 +32,59 @@
 const (
 	VerdictAdmitted Verdict = "admitted"
 	VerdictQueued   Verdict = "queued"
-	// VerdictLate means that the request can't start before its deadline.
+	// VerdictLate means that the request can't be run before its deadline.
 	VerdictLate Verdict = "late"
 	// VerdictFull means that the workspace has too many waiting.
 	VerdictFull Verdict = "full"
 )
 
-// smoothing is the share of a new measurement in the mean service time.
-const smoothing = 0.1
+const (
+	// smoothing is the share of a new measurement in the mean service time.
+	smoothing = 0.1
+	// reserveShare is the part of the limit that workspaces above their share
+	// leave to the others, so that these need not wait for a place.
+	reserveShare = 0.1
+	// reserveFrom is the limit from which at least one place is reserved.
+	reserveFrom = 4
+)
 
 // Queue is the admission state of one service. It has one owner at a time.
 type Queue struct {
 	cfg       Config
 	running   int
-	waiting   waiters
+	waiting   int
+	spaces    map[string]*space
 	byID      map[uint64]*waiter
-	perSpace  map[string]int
-	finish    map[string]float64
 	virtual   float64
 	meanTaken time.Duration
 }
 
+// space is the state of one workspace. It exists while the workspace has
+// requests.
+type space struct {
+	name    string
+	weight  int
+	running int
+	queue   []*waiter
+	// finish is the virtual time at which the last request's turn ends.
+	finish float64
+}
+
 type waiter struct {
 	request Request
 	start   float64
-	index   int
 }
 
 // New returns an empty queue.
 func New(cfg Config) *Queue {
-	return &Queue{cfg: cfg, byID: map[uint64]*waiter{}, perSpace: map[string]int{}, finish: map[string]float64{}}
+	return &Queue{cfg: cfg, spaces: map[string]*space{}, byID: map[uint64]*waiter{}}
 }
 
 // Running returns how many requests are in progress.
 func (q *Queue) Running() int { return q.running }
 
 // Waiting returns how many requests wait.
-func (q *Queue) Waiting() int { return len(q.waiting) }
+func (q *Queue) Waiting() int { return q.waiting }
 
 // Offer takes a request. With VerdictQueued, its ID comes out of a later Release
 // or SetLimit, unless it is abandoned first.
@@ -77,52 +92,35 @@
 	if !now.Before(r.Deadline) {
 		return VerdictLate
 	}
-	if q.running < q.cfg.Limit && len(q.waiting) == 0 {
-		q.running++
-		q.virtual = q.stamp(r)
+	s := q.spaceOf(r)
+	defer q.forgetIdle(s)
+	if len(s.queue) == 0 && q.mayStart(s) {
+		q.virtual = s.stamp(q.virtual, r)
+		q.start(s)
 		return VerdictAdmitted
 	}
-	if q.perSpace[r.Workspace] >= q.cfg.MaxWaiting {
+	if len(s.queue) >= q.cfg.MaxWaiting {
 		return VerdictFull
 	}
-	if now.Add(q.expectedWait(r)).After(r.Deadline) {
+	if now.Add(q.expectedWait(s) + q.meanTaken).After(r.Deadline) {
 		return VerdictLate
 	}
-	w := &waiter{request: r, start: q.stamp(r)}
-	heap.Push(&q.waiting, w)
+	w := &waiter{request: r, start: s.stamp(q.virtual, r)}
+	s.queue = append(s.queue, w)
 	q.byID[r.ID] = w
-	q.perSpace[r.Workspace]++
+	q.waiting++
 	return VerdictQueued
 }
 
-// stamp returns the virtual time at which the request would start if each
-// workspace had its share of one server, and moves the workspace on by its cost.
-func (q *Queue) stamp(r Request) float64 {
-	start := max(q.virtual, q.finish[r.Workspace])
-	q.finish[r.Workspace] = start + 1/float64(max(r.Weight, 1)*(1+max(r.Priority, 0)))
-	return start
-}
-
-// expectedWait estimates how long a new request waits: those of its own
-// workspace go before it, and the other workspaces get their turns between.
-func (q *Queue) expectedWait(r Request) time.Duration {
-	if q.cfg.Limit < 1 {
-		return 0
-	}
-	start := max(q.virtual, q.finish[r.Workspace])
-	ahead := 0
-	for _, w := range q.waiting {
-		if w.start <= start {
-			ahead++
-		}
-	}
-	return q.meanTaken * time.Duration(ahead) / time.Duration(q.cfg.Limit)
-}
-
-// Release records that a request that was in progress ended after taken, and
-// returns the requests that start now and those whose deadline passed.
-func (q *Queue) Release(now time.Time, taken time.Duration) (started, late []uint64) {
+// Release records that a workspace's request that was in progress ended, taken
+// after it was admitted, and returns the requests that start now and those that
+// can't be run before their deadline any more.
+func (q *Queue) Release(now time.Time, workspace string, taken time.Duration) (started, late []uint64) {
 	q.running--
+	if s := q.spaces[workspace]; s != nil {
+		s.running--
+		defer q.forgetIdle(s)
+	}
 	if q.meanTaken == 0 {
 		q.meanTaken = taken
 	}
@@ -143,69 +141,139 @@
 	if w == nil {
 		return false
 	}
-	heap.Remove(&q.waiting, w.index)
-	q.forget(w)
+	s := q.spaces[w.request.Workspace]
+	for i, other := range s.queue {
+		if other == w {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			break
+		}
+	}
+	q.forgetWaiter(w)
+	q.forgetIdle(s)
 	return true
 }
 
-func (q *Queue) startWaiting(now time.Time) (started, late []uint64) {
-	for q.running < q.cfg.Limit && len(q.waiting) > 0 {
-		w, ok := heap.Pop(&q.waiting).(*waiter)
-		if !ok {
-			break
-		}
-		q.forget(w)
-		if !now.Before(w.request.Deadline) {
-			late = append(late, w.request.ID)
-			continue
-		}
-		q.virtual = max(q.virtual, w.start)
-		q.running++
-		started = append(started, w.request.ID)
+// stamp returns the virtual time at which the request would start if each
+// workspace had its share of one server, and moves the workspace on by its cost.
+func (s *space) stamp(virtual float64, r Request) float64 {
+	start := max(virtual, s.finish)
+	s.finish = start + 1/float64(max(r.Weight, 1)*(1+max(r.Priority, 0)))
+	return start
+}
+
+func (q *Queue) spaceOf(r Request) *space {
+	s := q.spaces[r.Workspace]
+	if s == nil {
+		s = &space{name: r.Workspace}
+		q.spaces[r.Workspace] = s
 	}
-	if len(q.waiting) == 0 && q.running == 0 {
-		clear(q.finish)
-		q.virtual = 0
+	s.weight = max(r.Weight, 1)
+	return s
+}
+
+// forgetIdle drops a workspace without requests, unless its turn lies ahead.
+func (q *Queue) forgetIdle(s *space) {
+	if s.running == 0 && len(s.queue) == 0 && (s.finish <= q.virtual || q.running+q.waiting == 0) {
+		delete(q.spaces, s.name)
 	}
-	return started, late
 }
 
-func (q *Queue) forget(w *waiter) {
+func (q *Queue) forgetWaiter(w *waiter) {
 	delete(q.byID, w.request.ID)
-	if q.perSpace[w.request.Workspace]--; q.perSpace[w.request.Workspace] <= 0 {
-		delete(q.perSpace, w.request.Workspace)
+	q.waiting--
+}
+
+func (q *Queue) start(s *space) {
+	q.running++
+	s.running++
+}
+
+// mayStart tells whether there is a place for a workspace's next request. Above
+// its share, it may not take the reserved ones.
+func (q *Queue) mayStart(s *space) bool {
+	limit := q.cfg.Limit
+	if q.isAboveShare(s) {
+		limit -= q.reserve()
 	}
+	return q.running < limit
 }
 
-// waiters is a heap by virtual start time, then by arrival.
-type waiters []*waiter
+func (q *Queue) reserve() int {
+	if q.cfg.Limit < reserveFrom {
+		return 0
+	}
+	return max(int(reserveShare*float64(q.cfg.Limit)), 1)
+}
 
-func (w waiters) Len() int { return len(w) }
+// isAboveShare tells whether a workspace has its share of the limit in progress,
+// which it shares with those that have requests now.
+func (q *Queue) isAboveShare(s *space) bool {
+	weights := 0
+	for _, other := range q.spaces {
+		if other == s || other.running > 0 || len(other.queue) > 0 {
+			weights += other.weight
+		}
+	}
+	return s.running*weights >= q.cfg.Limit*s.weight
+}
 
-func (w waiters) Less(i, j int) bool {
-	if w[i].start != w[j].start {
-		return w[i].start < w[j].start
+// expectedWait estimates how long a new request waits: those of its own
+// workspace go before it, and the other workspaces get their turns between.
+func (q *Queue) expectedWait(s *space) time.Duration {
+	if q.cfg.Limit < 1 {
+		return 0
+	}
+	turn := max(q.virtual, s.finish)
+	ahead := 0
+	for _, other := range q.spaces {
+		for _, w := range other.queue {
+			if w.start > turn {
+				break
+			}
+			ahead++
+		}
 	}
-	return w[i].request.ID < w[j].request.ID
+	return q.meanTaken * time.Duration(ahead) / time.Duration(q.cfg.Limit)
 }
 
-func (w waiters) Swap(i, j int) {
-	w[i], w[j] = w[j], w[i]
-	w[i].index, w[j].index = i, j
+// startWaiting starts the waiting requests that there is a place for, the
+// earliest turn first.
+func (q *Queue) startWaiting(now time.Time) (started, late []uint64) {
+	for s := q.nextSpace(); s != nil; s = q.nextSpace() {
+		w := s.queue[0]
+		s.queue = s.queue[1:]
+		q.forgetWaiter(w)
+		if !now.Add(q.meanTaken).Before(w.request.Deadline) {
+			late = append(late, w.request.ID)
+			q.forgetIdle(s)
+			continue
+		}
+		q.virtual = max(q.virtual, w.start)
+		q.start(s)
+		started = append(started, w.request.ID)
+	}
+	return started, late
 }
 
-// Push implements heap.Interface.
-func (w *waiters) Push(x any) {
-	if v, ok := x.(*waiter); ok {
-		v.index = len(*w)
-		*w = append(*w, v)
+// nextSpace returns the workspace whose turn it is among those that may start a
+// request, nil if there is none.
+func (q *Queue) nextSpace() (next *space) {
+	for _, s := range q.spaces {
+		if len(s.queue) == 0 || !q.mayStart(s) {
+			continue
+		}
+		if next == nil || s.isBefore(next) {
+			next = s
+		}
 	}
+	return next
 }
 
-// Pop implements heap.Interface.
-func (w *waiters) Pop() any {
-	old := *w
-	v := old[len(old)-1]
-	*w = old[:len(old)-1]
-	return v
+// isBefore orders by turn, and by arrival where turns are the same.
+func (s *space) isBefore(other *space) bool {
+	a, b := s.queue[0], other.queue[0]
+	if a.start != b.start {
+		return a.start < b.start
+	}
+	return a.request.ID < b.request.ID
 }
--- a/pkg/retrier/retrier.go
+++ b/pkg/retrier/retrier.go
@@ -67,6 +67,33 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
+	if pause, why = b.backOff(now, deadline, attempts); why != RefusalNone {
+		return 0, why
+	}
+	if b.tokens < 1 {
+		return 0, RefusalBudget
+	}
+	b.tokens--
+	return pause, RefusalNone
+}
+
+// RetryUnrun decides about an attempt that added nothing to the load of what
+// refused it. The retry costs nothing from the budget, and the first ones follow
+// at once, because another place may be free. Only the deadline ends them.
+func (b *Budget) RetryUnrun(now, deadline time.Time, attempts int) (pause time.Duration, why Refusal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if attempts >= b.cfg.MaxAttempts {
+		pause = time.Duration(b.rng.Int64N(int64(b.cfg.BackoffBase) + 1))
+	}
+	if !now.Add(pause).Before(deadline) {
+		return 0, RefusalDeadline
+	}
+	return pause, RefusalNone
+}
+
+// backOff returns a pause with full jitter; the caller holds mu.
+func (b *Budget) backOff(now, deadline time.Time, attempts int) (pause time.Duration, why Refusal) {
 	if attempts >= b.cfg.MaxAttempts {
 		return 0, RefusalAttempts
 	}
@@ -75,10 +102,6 @@
 	if !now.Add(pause).Before(deadline) {
 		return 0, RefusalDeadline
 	}
-	if b.tokens < 1 {
-		return 0, RefusalBudget
-	}
-	b.tokens--
 	return pause, RefusalNone
 }
 
--- a/pkg/router/pick.go
+++ b/pkg/router/pick.go
@@ -14,8 +14,8 @@
 	// ReasonAffinity means that the endpoint likely has the prompt's prefix
 	// cached and is not overloaded.
 	ReasonAffinity Reason = "affinity"
-	// ReasonTwoChoices means that the endpoint was the cheaper of two.
-	ReasonTwoChoices Reason = "two_choices"
+	// ReasonCheapest means that the endpoint was the cheapest of a few.
+	ReasonCheapest Reason = "cheapest"
 	// ReasonOwner means that the endpoint is the first choice for a key.
 	ReasonOwner Reason = "key_owner"
 	// ReasonOnly means that there was no other endpoint.
@@ -24,10 +24,10 @@
 
 // Config configures the policy of a choice.
 type Config struct {
-	// Policy is how to choose; empty is PolicyTwoChoices.
+	// Policy is how to choose; empty is PolicyFewChoices.
 	Policy Policy
 	Region string
-	// AffinityBound is how much dearer than the other choice the endpoint with
+	// AffinityBound is how much dearer than the cheapest choice the endpoint with
 	// the cached prefix may be, in shares of its capacity.
 	AffinityBound float64
 	// RegionPenalty is added to the cost of endpoints of other regions, in
@@ -68,45 +68,47 @@
 	if q.OwnerKey != 0 {
 		return g.pickOwner(cfg, now, q)
 	}
-	if cfg.Policy != "" && cfg.Policy != PolicyTwoChoices {
+	if cfg.Policy != "" && cfg.Policy != PolicyFewChoices {
 		return g.pickBy(cfg, now, q, t.turn.Add(1))
 	}
-	a := g.candidate(now, q, q.Random, nil)
-	if a == nil {
-		return Choice{}, false
+	c, ok := g.pickCheapest(cfg, now, q)
+	if !ok || q.AffinityKey == 0 {
+		return c, ok
 	}
-	b := g.candidate(now, q, bits.RotateLeft64(q.Random, 32)*0x9e3779b97f4a7c15, a)
-	if q.AffinityKey != 0 {
-		if c, ok := g.pickAffine(cfg, now, q, a, b); ok {
-			return c, true
+	if f := g.onRing(now, q, q.AffinityKey); f != nil {
+		if cost := f.cost(cfg, now); cost <= c.Cost+cfg.AffinityBound {
+			return Choice{Endpoint: f, Reason: ReasonAffinity, Cost: cost, OtherCost: c.Cost}, true
 		}
 	}
-	if b == nil {
-		return Choice{Endpoint: a, Reason: ReasonOnly, Cost: a.cost(cfg, now)}, true
-	}
-	ca, cb := a.cost(cfg, now), b.cost(cfg, now)
-	if cb < ca {
-		a, ca, cb = b, cb, ca
-	}
-	return Choice{Endpoint: a, Reason: ReasonTwoChoices, Cost: ca, OtherCost: cb}, true
+	return c, true
 }
 
-// pickAffine chooses the endpoint that the prefix maps to, unless it is much
-// dearer than the cheaper of two others.
-func (g *group) pickAffine(cfg Config, now time.Time, q Query, a, b *Endpoint) (Choice, bool) {
-	f := g.onRing(now, q, q.AffinityKey)
-	if f == nil {
-		return Choice{}, false
-	}
-	other := a.cost(cfg, now)
-	if b != nil {
-		other = min(other, b.cost(cfg, now))
-	}
-	c := f.cost(cfg, now)
-	if c > other+cfg.AffinityBound {
-		return Choice{}, false
+// choices is how many endpoints are compared. Two would do for many endpoints;
+// with few of them more choices leave fewer places idle, and an entry sees about
+// twenty.
+const choices = 4
+
+// pickCheapest chooses the cheapest of a few endpoints at random places.
+func (g *group) pickCheapest(cfg Config, now time.Time, q Query) (c Choice, ok bool) {
+	random := q.Random
+	for range choices {
+		e := g.candidate(now, q, random)
+		random = bits.RotateLeft64(random, 32)*0x9e3779b97f4a7c15 + 1
+		if e == nil || e == c.Endpoint {
+			continue
+		}
+		cost := e.cost(cfg, now)
+		switch {
+		case !ok:
+			c, ok = Choice{Endpoint: e, Reason: ReasonOnly, Cost: cost}, true
+		case cost < c.Cost:
+			c = Choice{Endpoint: e, Reason: ReasonCheapest, Cost: cost, OtherCost: c.Cost}
+		default:
+			c.Reason = ReasonCheapest
+			c.OtherCost = cost
+		}
 	}
-	return Choice{Endpoint: f, Reason: ReasonAffinity, Cost: c, OtherCost: other}, true
+	return c, ok
 }
 
 func (g *group) pickOwner(cfg Config, now time.Time, q Query) (Choice, bool) {
@@ -117,19 +119,11 @@
 	return Choice{Endpoint: e, Reason: ReasonOwner, Cost: e.cost(cfg, now)}, true
 }
 
-// candidate returns the first usable endpoint from a random place on, other
-// than not. If all are ejected, ejection is ignored.
-func (g *group) candidate(now time.Time, q Query, random uint64, not *Endpoint) *Endpoint {
+// candidate returns the first usable endpoint from a random place on. If all are
+// ejected, ejection is ignored.
+func (g *group) candidate(now time.Time, q Query, random uint64) *Endpoint {
 	hi, _ := bits.Mul64(random, uint64(len(g.endpoints)))
-	start := int(hi)
-	e := g.from(start, now, q)
-	if e == nil || e != not {
-		return e
-	}
-	if e = g.from((start+1)%len(g.endpoints), now, q); e == not {
-		return nil
-	}
-	return e
+	return g.from(int(hi), now, q)
 }
 
 // from returns the first usable endpoint from a place on.
@@ -194,7 +188,7 @@
 
 // others is the reported load without the own attempts that it contained.
 func (e *Endpoint) others() int {
-	return max(e.Load.Running+e.Load.Queued-int(e.stats.atReport.Load()), 0)
+	return max(int(e.stats.reported.Load()-e.stats.atReport.Load()), 0)
 }
 
 func (e *Endpoint) isEjected(now time.Time) bool {
--- a/pkg/router/policies.go
+++ b/pkg/router/policies.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// Policy names a way to choose. All but PolicyTwoChoices are there to be
+// Policy names a way to choose. All but PolicyFewChoices are there to be
 // compared with it.
 type Policy string
 
 // Policies.
 const (
-	// PolicyTwoChoices is the usual one, also when none is named.
-	PolicyTwoChoices Policy = "two_choices"
+	// PolicyFewChoices is the usual one, also when none is named.
+	PolicyFewChoices Policy = "few_choices"
 	// PolicyRandom takes any endpoint.
 	PolicyRandom Policy = "random"
 	// PolicyRoundRobin takes one after the other.
@@ -30,7 +30,7 @@
 	case PolicyLeastReported:
 		e = g.leastReported(now, q)
 	default:
-		e = g.candidate(now, q, q.Random, nil)
+		e = g.candidate(now, q, q.Random)
 	}
 	if e == nil {
 		return Choice{}, false
@@ -53,7 +53,7 @@
 		}
 	}
 	if best == nil {
-		return g.candidate(now, q, q.Random, nil)
+		return g.candidate(now, q, q.Random)
 	}
 	return best
 }
--- a/pkg/router/table.go
+++ b/pkg/router/table.go
@@ -55,7 +55,10 @@
 
 // stats are the counters of an endpoint that outlive tables.
 type stats struct {
-	inFlight    atomic.Int64
+	inFlight atomic.Int64
+	// reported is the load that the endpoint last reported, by heartbeat or with
+	// an answer, and atReport the own attempts that were part of it.
+	reported    atomic.Int64
 	atReport    atomic.Int64
 	failures    atomic.Int64
 	ejections   atomic.Int64
@@ -113,6 +116,7 @@
 func (t *Table) adoptStats(e *Endpoint, prev *Table) *stats {
 	id := e.Instance + "/" + e.Incarnation
 	s := &stats{}
+	s.reported.Store(int64(e.Load.Running + e.Load.Queued))
 	if prev != nil && prev.stats[id] != nil {
 		s = prev.stats[id]
 	}
@@ -207,8 +211,17 @@
 
 // Reported notes that a fresh load report of an endpoint has come, so that the
 // own attempts in flight now are part of it.
-func (t *Table) Reported(instance, incarnation string) {
+func (t *Table) Reported(instance, incarnation string, running int) {
 	if s := t.stats[instance+"/"+incarnation]; s != nil {
-		s.atReport.Store(s.inFlight.Load())
+		s.note(running)
 	}
 }
+
+// Answered notes the load that came with an answer of the endpoint. It must be
+// called after the attempt has ended.
+func (e *Endpoint) Answered(running int) { e.stats.note(running) }
+
+func (s *stats) note(running int) {
+	s.reported.Store(int64(running))
+	s.atReport.Store(s.inFlight.Load())
+}
