Refuse keyed calls truthfully in an outage, pin versions at the first run, order extras

Cause, each found by a new test: (1) with the log down a keyed call ended as unknown, because the sidecar learned of the outage only when its long read ended and gave its last word at the very deadline; (2) a call pinned to a version that was withdrawn before anything ran was refused though the next version served; (3) a role or adapter published after its version was never ordered. Change: a failed append marks the log as down; an execution that has not begun is given up before the deadline and reported as not run, and then can't begin; a call is pinned again while nothing has run; extras are ordered for serving versions too.

--- a/internal/deployer/deployment.go
+++ b/internal/deployer/deployment.go
@@ -72,10 +72,12 @@
 	Endpoints       []*Endpoint
 
 	options Options
-	issuer  *authenticator.Issuer
-	ctx     context.Context
-	stop    context.CancelFunc
-	wg      sync.WaitGroup
+	// replaced are sidecars that others have taken the place of.
+	replaced []*Process
+	issuer   *authenticator.Issuer
+	ctx      context.Context
+	stop     context.CancelFunc
+	wg       sync.WaitGroup
 }
 
 // Start starts a deployment.
@@ -100,6 +102,9 @@
 			wg.Go(e.Sidecar.Stop)
 		}
 	}
+	for _, p := range d.replaced {
+		wg.Go(p.Stop)
+	}
 	wg.Wait()
 	d.stop()
 	d.wg.Wait()
@@ -289,7 +294,8 @@
 	return e, nil
 }
 
-// StartSidecar starts a sidecar beside an endpoint, whatever stands there.
+// StartSidecar starts a sidecar beside an endpoint, whatever stands there. Each
+// one has a place of its own on the network, so that one can be cut off alone.
 func (d *Deployment) StartSidecar(e *Endpoint) error {
 	lis, err := listen()
 	if err != nil {
@@ -297,6 +303,10 @@
 	}
 	p := &Process{Name: e.Name, Region: e.Region, Address: lis.Addr().String()}
 	at := Place{Instance: e.Name, Region: e.Region}
+	if e.Sidecar != nil {
+		at.Instance = e.Name + "/" + p.Address
+		d.replaced = append(d.replaced, e.Sidecar)
+	}
 	d.Network.Add(p.Address, at)
 	client := d.client(at)
 	dialer, serverTLS, err := d.secure(at)
--- a/internal/deployer/deployment_test.go
+++ b/internal/deployer/deployment_test.go
@@ -65,7 +65,7 @@
 		d.Stop()
 		cancel()
 	})
-	s := &system{Deployment: d, ctx: ctx, caller: caller.New(caller.Config{MaxConnections: 64})}
+	s := &system{Deployment: d, ctx: ctx, caller: newCaller()}
 	if err = d.AwaitAttached(ctx); err != nil {
 		t.Fatal(err)
 	}
@@ -76,6 +76,12 @@
 	return s
 }
 
+func newCaller() *caller.Caller { return caller.New(caller.Config{MaxConnections: 64}) }
+
+func workspaceBody() interpreter.Workspace {
+	return interpreter.Workspace{Weight: 1, Routes: []interpreter.Route{{Service: "orders"}}}
+}
+
 // rollout publishes a version and waits until all replicas serve it.
 func (s *system) rollout(t *testing.T, version byte, previous string) string {
 	t.Helper()
--- a/internal/entryserver/attempt.go
+++ b/internal/entryserver/attempt.go
@@ -223,6 +223,11 @@
 	budget := s.retries.of(c.service)
 	owner := ""
 	for {
+		if unknown == nil && c.frames == 0 {
+			// Nothing has run yet, so the call may still go to the version that
+			// serves now.
+			c.version = s.chooseVersion(s.board.View(), c)
+		}
 		choice, ok := s.pick(c, exclude, owner)
 		if !ok {
 			return nil, finalProblem(c, unknown, &attemptError{outcome: messenger.Outcome_OUTCOME_NOT_RUN, reason: refuser.ReasonNoEndpoint})
--- a/internal/entryserver/config.go
+++ b/internal/entryserver/config.go
@@ -68,7 +68,7 @@
 
 // DefaultRouting returns the routing policy of a region.
 func DefaultRouting(region string) router.Config {
-	return router.Config{Region: region, AffinityBound: 0.5, RegionPenalty: 0.05, SlowStart: 5 * time.Second}
+	return router.Config{Region: region, AffinityBound: 0.8, RegionPenalty: 0.05, SlowStart: 5 * time.Second}
 }
 
 // DefaultRetries returns the retry policy.
--- a/internal/sidecarserver/claims.go
+++ b/internal/sidecarserver/claims.go
@@ -138,7 +138,9 @@
 			return
 		}
 		for ctx.Err() == nil {
-			if _, err := c.log.Append(ctx, c.stream, batch...); err == nil {
+			_, err := c.log.Append(ctx, c.stream, batch...)
+			c.down.Store(err != nil)
+			if err == nil {
 				break
 			}
 			pause(ctx, claimRetryWait)
--- a/internal/sidecarserver/executions.go
+++ b/internal/sidecarserver/executions.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"flamingoledge.org/flamingoledge/internal/messenger"
@@ -27,6 +28,22 @@
 	startedAt  time.Time
 	done       chan struct{}
 	result     result
+	phase      atomic.Int32
+}
+
+// Phases of an execution. It leaves the first one once, to either of the others.
+const (
+	phaseClaiming int32 = iota
+	phaseRunning
+	phaseGivenUp
+)
+
+// begin tells whether the run may begin, which it may unless it was given up.
+func (e *execution) begin() bool { return e.phase.CompareAndSwap(phaseClaiming, phaseRunning) }
+
+// giveUp tells whether the run will certainly not begin.
+func (e *execution) giveUp() bool {
+	return e.phase.CompareAndSwap(phaseClaiming, phaseGivenUp) || e.phase.Load() == phaseGivenUp
 }
 
 // executions holds the runs under idempotency keys of this sidecar.
--- a/internal/sidecarserver/rollout.go
+++ b/internal/sidecarserver/rollout.go
@@ -134,6 +134,9 @@
 		return
 	}
 	if r.server.guard.isAllowed(d.versionDigest) {
+		if loaded, ok := v.endpoint.Holds(d.versionDigest); ok {
+			r.orderExtras(ctx, d, v.endpoint, loaded)
+		}
 		return
 	}
 	r.setWeights(d.versionDigest, f.weightsDigest())
@@ -156,16 +159,8 @@
 
 // confirm counts matching reports, and lets traffic through after enough of them.
 func (r *rollout) confirm(ctx context.Context, d desiredVersion, f *fetch, st endpointclient.State, loaded endpointclient.Loaded) {
-	for _, adapter := range d.adapters {
-		if !slices.Contains(loaded.Adapters, adapter) {
-			r.confirmations[d.versionDigest] = 0
-			r.give(ctx, endpointclient.Order{Kind: endpointclient.OrderAdapter, Model: d.model, VersionDigest: d.versionDigest, Adapter: adapter}, d.recordOffset)
-			return
-		}
-	}
-	if d.role != "" && st.Role != d.role {
+	if r.orderExtras(ctx, d, st, loaded) {
 		r.confirmations[d.versionDigest] = 0
-		r.give(ctx, endpointclient.Order{Kind: endpointclient.OrderRole, Role: d.role}, d.recordOffset)
 		return
 	}
 	r.confirmations[d.versionDigest]++
@@ -183,6 +178,22 @@
 	r.report(d, f, true)
 }
 
+// orderExtras orders an adapter or a role that the record asks for and that the
+// endpoint does not report. It returns false if nothing is missing.
+func (r *rollout) orderExtras(ctx context.Context, d desiredVersion, st endpointclient.State, loaded endpointclient.Loaded) bool {
+	for _, adapter := range d.adapters {
+		if !slices.Contains(loaded.Adapters, adapter) {
+			r.give(ctx, endpointclient.Order{Kind: endpointclient.OrderAdapter, Model: d.model, VersionDigest: d.versionDigest, Adapter: adapter}, d.recordOffset)
+			return true
+		}
+	}
+	if d.role != "" && st.Role != d.role {
+		r.give(ctx, endpointclient.Order{Kind: endpointclient.OrderRole, Role: d.role}, d.recordOffset)
+		return true
+	}
+	return false
+}
+
 // load streams the weights to the endpoint and orders it to load them.
 func (r *rollout) load(ctx context.Context, v *state, d desiredVersion, f *fetch, st endpointclient.State) {
 	if len(st.Loaded) >= st.Slots {
--- a/internal/sidecarserver/run.go
+++ b/internal/sidecarserver/run.go
@@ -25,6 +25,9 @@
 	// releaseTimeout bounds the wait for a release before the answer goes out.
 	releaseTimeout = 500 * time.Millisecond
 	cancelTimeout  = time.Second
+	// replyMargin is how long before the deadline the last word on a keyed call is
+	// sent, so that it reaches the entry in time.
+	replyMargin = 50 * time.Millisecond
 	// aloneTimeout bounds the wait for the endpoint alone.
 	aloneTimeout = 3 * time.Second
 )
@@ -227,14 +230,17 @@
 		// caller's next attempt.
 		go s.executeOnce(x, entry, req)
 	}
-	timer := time.NewTimer(time.Until(time.Unix(0, req.GetDeadlineUnixNanos())))
+	timer := time.NewTimer(time.Until(time.Unix(0, req.GetDeadlineUnixNanos())) - replyMargin)
 	defer timer.Stop()
 	select {
 	case <-x.done:
 		return s.replyResult(stream, x.result, !created)
 	case <-timer.C:
-		return stream.Send(&messenger.RunReply{Outcome: messenger.Outcome_OUTCOME_UNKNOWN, Reason: "still in progress at the deadline"})
 	}
+	if x.giveUp() {
+		return s.replyNotRun(stream, refuser.ReasonExpired, false)
+	}
+	return stream.Send(&messenger.RunReply{Outcome: messenger.Outcome_OUTCOME_UNKNOWN, Reason: "still in progress at the deadline"})
 }
 
 func (s *Server) replyResult(stream messenger.DRPCExecution_RunStream, r result, replayed bool) error {
@@ -276,6 +282,11 @@
 		s.executions.finish(x, r)
 		return
 	}
+	if !x.begin() {
+		s.releaseClaim(entry)
+		s.executions.finish(x, result{outcome: messenger.Outcome_OUTCOME_NOT_RUN, reason: refuser.ReasonExpired})
+		return
+	}
 	s.executions.finish(x, s.runClaimed(ctx, entry, req))
 }
 
