Keep heartbeats without news out of the table of endpoints

Cause: each heartbeat rebuilt the entry's table and its map of sidecars: 0.67 ms of processor time a stream and second, 0.0136 cores for an entry at the target size. Change: the time and load of a heartbeat without news go to counters beside the table; control cost is worked out from slopes over sidecars, streams and entries.

--- a/internal/deployer/records.go
+++ b/internal/deployer/records.go
@@ -159,15 +159,19 @@
 	return runs
 }
 
-// AwaitAttached waits until every entry lists all instances and has all its
-// sidecars attached, as in a deployment that has run for a while.
+// AwaitAttached waits until all instances are listed and every sidecar is
+// attached, as in a deployment that has run for a while.
 func (d *Deployment) AwaitAttached(ctx context.Context) error {
 	for ctx.Err() == nil {
 		instances, err := d.Client.Instances(ctx)
 		ready := err == nil && len(instances) == len(d.Entries)+len(d.Endpoints)
+		attached := map[string]struct{}{}
 		for _, s := range d.EntryServers {
-			ready = ready && len(s.Status().Sidecars) == len(d.Endpoints)
+			for _, sc := range s.Status().Sidecars {
+				attached[sc.Instance] = struct{}{}
+			}
 		}
+		ready = ready && len(attached) == len(d.Endpoints)
 		if ready {
 			// The processes read the list now and then, so each has it after one
 			// more reading.
--- a/internal/entryserver/control.go
+++ b/internal/entryserver/control.go
@@ -74,6 +74,7 @@
 		Service:          full.GetService(),
 		Held:             full.GetHeld(),
 		Leaving:          full.GetLeaving(),
+		Brief:            true,
 		ThroughOffset:    brief.GetThroughOffset(),
 		Load:             brief.GetLoad(),
 	}
--- a/internal/entryserver/membership.go
+++ b/internal/entryserver/membership.go
@@ -25,6 +25,9 @@
 	var actions []controller.Action
 	switch e := e.(type) {
 	case heartbeatCame:
+		if noteLoad(now, s, e.heartbeat) {
+			return s, nil
+		}
 		s, actions = withHeartbeat(now, s, e.heartbeat)
 	case sidecarGone:
 		s, actions = withoutSidecar(s, e.instance, e.incarnation)
@@ -42,8 +45,7 @@
 	}
 	s.table = router.NewTable(endpoints(s), s.table)
 	if hb, ok := e.(heartbeatCame); ok {
-		h := hb.heartbeat
-		s.table.Reported(h.GetInstance(), h.GetIncarnation(), int(h.GetLoad().GetRunning()+h.GetLoad().GetQueued()))
+		reportLoad(s.table, hb.heartbeat)
 	}
 	s.switched = switchedModels(s)
 	s.entries = liveEntries(s.instances)
@@ -59,10 +61,28 @@
 	return n
 }
 
+func reportLoad(t *router.Table, h *messenger.Heartbeat) {
+	t.Reported(h.GetInstance(), h.GetIncarnation(), int(h.GetLoad().GetRunning()+h.GetLoad().GetQueued()))
+}
+
+// noteLoad takes in a heartbeat without news but the load. It returns false for
+// one with other news.
+func noteLoad(now time.Time, s state, h *messenger.Heartbeat) bool {
+	old, known := s.sidecars[h.GetInstance()]
+	if !known || !h.GetBrief() || old.heartbeat.GetIncarnation() != h.GetIncarnation() ||
+		old.heartbeat.GetThroughOffset() != h.GetThroughOffset() {
+		return false
+	}
+	old.pulse.note(now, h)
+	reportLoad(s.table, h)
+	return true
+}
+
 func withHeartbeat(now time.Time, s state, h *messenger.Heartbeat) (state, []controller.Action) {
 	var actions []controller.Action
 	old, known := s.sidecars[h.GetInstance()]
-	next := sidecar{heartbeat: h, joinedAt: old.joinedAt, seenAt: now}
+	next := sidecar{heartbeat: h, joinedAt: old.joinedAt, pulse: &pulse{}}
+	next.pulse.note(now, h)
 	if !known || old.heartbeat.GetIncarnation() != h.GetIncarnation() {
 		next.joinedAt = now
 		actions = append(actions, line(logger.SidecarAttached, zap.String("sidecar", h.GetInstance()), zap.String("service", h.GetService())))
@@ -89,7 +109,7 @@
 	var actions []controller.Action
 	expired := false
 	for name, sc := range s.sidecars {
-		if now.Sub(sc.seenAt) <= c.heartbeatTimeout {
+		if sc.pulse.silence(now) <= c.heartbeatTimeout {
 			continue
 		}
 		var as []controller.Action
--- a/internal/entryserver/state.go
+++ b/internal/entryserver/state.go
@@ -1,6 +1,7 @@
 package entryserver
 
 import (
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,11 +26,28 @@
 	entries int
 }
 
-// sidecar is an attached sidecar as its last heartbeat describes it.
+// sidecar is an attached sidecar as its last heartbeat with news describes it.
 type sidecar struct {
 	heartbeat *messenger.Heartbeat
 	joinedAt  time.Time
-	seenAt    time.Time
+	pulse     *pulse
+}
+
+// pulse is what changes with every heartbeat. It is kept apart, so that a
+// heartbeat without news renews neither the sidecars nor the table.
+type pulse struct {
+	seenAt  atomic.Int64
+	running atomic.Int64
+}
+
+func (p *pulse) note(now time.Time, h *messenger.Heartbeat) {
+	p.seenAt.Store(now.UnixNano())
+	p.running.Store(int64(h.GetLoad().GetRunning()))
+}
+
+// silence is how long ago the last heartbeat came.
+func (p *pulse) silence(now time.Time) time.Duration {
+	return time.Duration(now.UnixNano() - p.seenAt.Load())
 }
 
 // Events of the blackboard.
--- a/internal/entryserver/status.go
+++ b/internal/entryserver/status.go
@@ -45,7 +45,7 @@
 		Region:        h.GetRegion(),
 		Service:       h.GetService(),
 		ThroughOffset: h.GetThroughOffset(),
-		Running:       int(h.GetLoad().GetRunning()),
+		Running:       int(sc.pulse.running.Load()),
 		Leaving:       h.GetLeaving(),
 	}
 	for _, v := range h.GetHeld() {
--- a/internal/measurer/config.go
+++ b/internal/measurer/config.go
@@ -13,6 +13,7 @@
 
 	"flamingoledge.org/flamingoledge/internal/deployer"
 	"flamingoledge.org/flamingoledge/internal/publisher"
+	"flamingoledge.org/flamingoledge/internal/sidecarserver"
 	"flamingoledge.org/flamingoledge/pkg/acceptor"
 	"flamingoledge.org/flamingoledge/pkg/interpreter"
 )
@@ -40,6 +41,7 @@
 	measuredSmall      = 8
 	measuredLarge      = 64
 	controlStreamsEach = 3
+	regionCount        = 3
 )
 
 func measureConfig(ctx context.Context, cfg Config, r *Report) error {
@@ -203,82 +205,120 @@
 	return twoWinners, nil
 }
 
+// shape is the size of an idle deployment.
+type shape struct {
+	// entriesEach is how many entries each of the three regions has.
+	entriesEach int
+	sidecars    int
+	// streams is to how many entries a sidecar holds control streams.
+	streams int
+}
+
 // idleCost is what an idle deployment costs.
 type idleCost struct {
 	entryBytes   float64
 	sidecarBytes float64
 	cores        float64
 	memory       float64
-	sidecars     int
 }
 
-// measureControlCost takes the slopes between a small and a large deployment and
+// measureControlCost takes the slopes between deployments of several sizes and
 // works out a node's cost at the target size.
 func measureControlCost(ctx context.Context, cfg Config, r *Report) error {
-	small, err := idle(ctx, cfg, measuredSmall)
-	if err != nil {
-		return err
+	shapes := []shape{
+		{entriesEach: 1, sidecars: measuredSmall, streams: controlStreamsEach},
+		{entriesEach: 1, sidecars: measuredLarge, streams: controlStreamsEach},
+		{entriesEach: 1, sidecars: measuredLarge, streams: 1},
+		{entriesEach: 5, sidecars: measuredSmall, streams: controlStreamsEach},
 	}
-	large, err := idle(ctx, cfg, measuredLarge)
-	if err != nil {
-		return err
+	costs := make([]idleCost, len(shapes))
+	for i, s := range shapes {
+		var err error
+		if costs[i], err = idle(ctx, cfg, s); err != nil {
+			return err
+		}
+		cfg.say("idle %+v: %+v", s, costs[i])
 	}
-	more := float64(large.sidecars - small.sidecars)
-	bytesEach := (large.entryBytes - small.entryBytes) / more
-	coresEach := (large.cores - small.cores) / more
-	memoryEach := (large.memory - small.memory) / more
-	// Each sidecar holds three control streams, spread evenly over the entries.
+	small, large, single, many := costs[0], costs[1], costs[2], costs[3]
+	more := float64(measuredLarge - measuredSmall)
+	streams := float64(measuredLarge * (controlStreamsEach - 1))
+	entries := float64(regionCount * (shapes[3].entriesEach - shapes[0].entriesEach))
+	// Each sidecar holds its control streams to entries that are spread evenly.
 	attached := float64(targetSidecars*controlStreamsEach) / targetEntries
-	entryBytes := large.entryBytes + (attached-float64(large.sidecars))*bytesEach
+
+	bytesEach := (large.entryBytes - small.entryBytes) / more
+	entryBytes := small.entryBytes + (attached-measuredSmall)*bytesEach
 	r.bounded("control_bytes_per_second", max(entryBytes, large.sidecarBytes), "bytes/s", Lower, bytesBound)
 	r.add("control_bytes_per_second_entry", entryBytes, "bytes/s", Lower)
 	r.add("control_bytes_per_second_sidecar", large.sidecarBytes, "bytes/s", Lower)
-	r.add("control_bytes_per_second_each_attached_sidecar", bytesEach, "bytes/s", Lower)
-	// The slope of the process's time and memory contains the sidecar, its
-	// stand-in and its share of three entries, so it bounds each of them.
-	r.bounded("control_core_share", coresEach*max(attached/controlStreamsEach, 1), "cores", Lower, coreBound)
-	r.add("control_core_share_each_sidecar", coresEach, "cores", Lower)
-	r.bounded("control_memory_mb", memoryEach*max(attached/controlStreamsEach, 1), "MB", Lower, memoryBound)
-	r.add("control_memory_mb_each_sidecar", memoryEach, "MB", Lower)
+	r.add("control_bytes_per_second_each_stream", bytesEach, "bytes/s", Lower)
+
+	// The slopes of one process contain its stand-ins and both ends of a stream,
+	// so they bound what a node spends.
+	r.addNode("control_core_share", "cores", coreBound, attached, slopes{
+		sidecar: (large.cores - small.cores) / more,
+		stream:  (large.cores - single.cores) / streams,
+		entry:   (many.cores - small.cores) / entries,
+	})
+	r.addNode("control_memory_mb", "MB", memoryBound, attached, slopes{
+		sidecar: (large.memory - small.memory) / more,
+		stream:  (large.memory - single.memory) / streams,
+		entry:   (many.memory - small.memory) / entries,
+	})
 	return nil
 }
 
-func idle(ctx context.Context, cfg Config, sidecars int) (c idleCost, err error) {
+// slopes is what one more sidecar, control stream and entry costs.
+type slopes struct {
+	sidecar, stream, entry float64
+}
+
+// addNode adds the cost of the dearer kind of node at the target size.
+func (r *Report) addNode(name, unit string, bound, attached float64, s slopes) {
+	entry := s.entry + attached*s.stream
+	r.bounded(name, max(entry, s.sidecar), unit, Lower, bound)
+	r.add(name+"_entry", entry, unit, Lower)
+	r.add(name+"_sidecar", s.sidecar, unit, Lower)
+	r.add(name+"_each_stream", s.stream, unit, Lower)
+}
+
+func idle(ctx context.Context, cfg Config, s shape) (c idleCost, err error) {
 	length := idleTime
 	if cfg.Quick {
 		length = idleQuickTime
 	}
-	err = withRig(ctx, cfg, spreadTopology(sidecars), deployer.Options{}, func(_ context.Context, rg *rig) error {
+	t := spreadTopology(s.sidecars)
+	t.EntriesPerRegion = s.entriesEach
+	o := deployer.Options{Sidecar: func(c *sidecarserver.Config) { c.ControlEntries = s.streams }}
+	err = withRig(ctx, cfg, t, o, func(_ context.Context, rg *rig) error {
 		time.Sleep(time.Second)
-		names := func(sum *int64) {
-			for _, p := range rg.Entries {
-				*sum += rg.Network.Traffic(p.Name)
-			}
-		}
-		var entriesBefore, entriesAfter, sidecarsBefore, sidecarsAfter int64
-		names(&entriesBefore)
-		for _, e := range rg.Endpoints {
-			sidecarsBefore += rg.Network.Traffic(e.Name)
-		}
+		entries, sidecars := rg.traffic()
 		cpu := processorTime()
 		time.Sleep(length)
 		c.cores = (processorTime() - cpu).Seconds() / length.Seconds()
-		names(&entriesAfter)
-		for _, e := range rg.Endpoints {
-			sidecarsAfter += rg.Network.Traffic(e.Name)
-		}
+		entriesAfter, sidecarsAfter := rg.traffic()
 		runtime.GC()
 		var m runtime.MemStats
 		runtime.ReadMemStats(&m)
 		c.memory = float64(m.HeapInuse+m.StackInuse) / megabyte
-		c.entryBytes = float64(entriesAfter-entriesBefore) / length.Seconds() / float64(len(rg.Entries))
-		c.sidecarBytes = float64(sidecarsAfter-sidecarsBefore) / length.Seconds() / float64(sidecars)
-		c.sidecars = sidecars
+		c.entryBytes = float64(entriesAfter-entries) / length.Seconds() / float64(len(rg.Entries))
+		c.sidecarBytes = float64(sidecarsAfter-sidecars) / length.Seconds() / float64(s.sidecars)
 		return nil
 	})
 	return c, err
 }
 
+// traffic returns the bytes that entries and sidecars have sent and received.
+func (r *rig) traffic() (entries, sidecars int64) {
+	for _, p := range r.Entries {
+		entries += r.Network.Traffic(p.Name)
+	}
+	for _, e := range r.Endpoints {
+		sidecars += r.Network.Traffic(e.Name)
+	}
+	return entries, sidecars
+}
+
 // processorTime returns the time that this process has spent on processors.
 func processorTime() time.Duration {
 	var u syscall.Rusage
