--- a/cmd/flamingoledge/cmds/measure.go
+++ b/cmd/flamingoledge/cmds/measure.go
@@ -10,20 +10,29 @@
 	"github.com/urfave/cli/v3"
 
 	"flamingoledge.org/flamingoledge/internal/measurer"
+	"flamingoledge.org/flamingoledge/internal/plotter"
 )
 
-const flagQuick = "quick"
+const (
+	flagQuick    = "quick"
+	flagPage     = "page"
+	flagPrevious = "previous"
+	// allExperiments names every experiment.
+	allExperiments = "all"
+)
 
 func measureCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "measure",
-		Usage:     "run an experiment and print its rows beside their bounds",
-		ArgsUsage: "NAME",
+		Usage:     "run an experiment, or all, and print its rows beside their bounds",
+		ArgsUsage: "NAME|all",
 		Flags: []cli.Flag{
-			&cli.BoolFlag{Name: flagQuick, Usage: "end within 45 s, with fewer sizes and repetitions"},
-			&cli.BoolFlag{Name: flagJSON, Usage: "print one JSON object instead of a table"},
+			&cli.BoolFlag{Name: flagQuick, Usage: "end sooner, with fewer sizes and repetitions"},
+			&cli.BoolFlag{Name: flagJSON, Usage: "print JSON instead of a table: an object, or for all a list of them"},
+			&cli.StringFlag{Name: flagPage, Usage: "write a self-contained HTML page to this file"},
+			&cli.StringFlag{Name: flagPrevious, Usage: "JSON of an earlier run, to be shown beside this one"},
 			&cli.Uint64Flag{Name: flagSeed, Value: 1, Usage: "seed of everything that is drawn"},
-			&cli.StringFlag{Name: flagLogLevel, Value: "error", Usage: "lowest level of log lines on standard error"},
+			&cli.StringFlag{Name: flagLogLevel, Value: "fatal", Usage: "lowest level of log lines on standard error"},
 		},
 		Action: runMeasure,
 	}
@@ -31,24 +40,92 @@
 
 func runMeasure(ctx context.Context, cmd *cli.Command) error {
 	if cmd.Args().Len() != 1 {
-		return eris.Errorf("name one experiment of %v", measurer.Names())
+		return eris.Errorf("name one experiment of %v, or all", measurer.Names())
 	}
-	l, err := newLogger(cmd)
+	previous, err := readReports(cmd.String(flagPrevious))
+	if err != nil {
+		return err
+	}
+	names := []string{cmd.Args().First()}
+	if names[0] == allExperiments {
+		names = measurer.Names()
+	}
+	reports, err := measureEach(ctx, cmd, names)
 	if err != nil {
 		return err
 	}
+	if err = writePage(cmd.String(flagPage), reports, previous); err != nil {
+		return err
+	}
+	return printReports(cmd, reports)
+}
+
+func measureEach(ctx context.Context, cmd *cli.Command, names []string) (reports []measurer.Report, err error) {
+	l, err := newLogger(cmd)
+	if err != nil {
+		return nil, err
+	}
 	var progress io.Writer = os.Stderr
 	if cmd.Bool(flagJSON) {
 		progress = io.Discard
 	}
-	r, err := measurer.Run(ctx, cmd.Args().First(), measurer.Config{
-		Quick: cmd.Bool(flagQuick), Seed: cmd.Uint64(flagSeed), Progress: progress, Logger: l,
-	})
+	cfg := measurer.Config{Quick: cmd.Bool(flagQuick), Seed: cmd.Uint64(flagSeed), Progress: progress, Logger: l}
+	for _, name := range names {
+		r, err := measurer.Run(ctx, name, cfg)
+		if err != nil {
+			return nil, err
+		}
+		reports = append(reports, r)
+	}
+	return reports, nil
+}
+
+func printReports(cmd *cli.Command, reports []measurer.Report) error {
+	out := json.NewEncoder(os.Stdout)
+	switch {
+	case cmd.Bool(flagJSON) && cmd.Args().First() == allExperiments:
+		return out.Encode(reports)
+	case cmd.Bool(flagJSON):
+		return out.Encode(reports[0])
+	}
+	for _, r := range reports {
+		if err := measurer.WriteTable(os.Stdout, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readReports reads an earlier run: one report or a list of them.
+func readReports(name string) (reports []measurer.Report, err error) {
+	if name == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(name)
 	if err != nil {
-		return err
+		return nil, eris.Wrap(err, "earlier run")
 	}
-	if cmd.Bool(flagJSON) {
-		return json.NewEncoder(os.Stdout).Encode(r)
+	if json.Unmarshal(data, &reports) == nil {
+		return reports, nil
+	}
+	var one measurer.Report
+	if err = json.Unmarshal(data, &one); err != nil {
+		return nil, eris.Wrapf(err, "earlier run %s", name)
+	}
+	return []measurer.Report{one}, nil
+}
+
+func writePage(name string, reports, previous []measurer.Report) error {
+	if name == "" {
+		return nil
+	}
+	f, err := os.Create(name)
+	if err != nil {
+		return eris.Wrap(err, "page")
+	}
+	if err = plotter.Write(f, reports, previous); err != nil {
+		_ = f.Close()
+		return err
 	}
-	return measurer.WriteTable(os.Stdout, r)
+	return eris.Wrap(f.Close(), "page")
 }
--- a/cmd/flamingoledge/processes_test.go
+++ b/cmd/flamingoledge/processes_test.go
@@ -94,16 +94,22 @@
 	c.procs[name] = p
 }
 
-func (c *cluster) entry(name string) {
+func (c *cluster) entry(name string) { c.entryAt(name, c.platform) }
+
+// entryAt starts an entry that reaches the platform at an address.
+func (c *cluster) entryAt(name, platform string) {
 	http := freeAddress(c.t)
 	c.entries = append(c.entries, http)
 	c.start(name, []string{"entry"}, fmt.Sprintf(`{
 		"instance": {"name": %q, "availability_zone": "a-1", "region": "a"},
 		"platform": %q, "listen_address": "127.0.0.1:0", "http_address": %q,
-	}`, name, c.platform, http))
+	}`, name, platform, http))
 }
 
-func (c *cluster) endpoint(name, service string) {
+func (c *cluster) endpoint(name, service string) { c.endpointAt(name, service, c.platform) }
+
+// endpointAt starts an endpoint whose sidecar reaches the platform at an address.
+func (c *cluster) endpointAt(name, service, platform string) {
 	address := freeAddress(c.t)
 	c.standins[name] = address
 	c.start(name+"-standin", []string{"standin", "endpoint"}, fmt.Sprintf(
@@ -111,7 +117,7 @@
 	c.start(name, []string{"sidecar"}, fmt.Sprintf(`{
 		"instance": {"name": %q, "availability_zone": "a-1", "region": "a"},
 		"platform": %q, "listen_address": "127.0.0.1:0", "service": %q, "endpoint": %q, "origin_region": "a",
-	}`, name, c.platform, service, address))
+	}`, name, platform, service, address))
 }
 
 // runs counts the runs of a key in the endpoint's own history.
@@ -178,14 +184,21 @@
 		return code == 0
 	})
 	out, _ := c.run("weights", "put", "--platform", c.platform, "--file", weights, "--model", "notes", "--version", "v1", "--chunk-bytes", "16384")
+	c.publishServices()
+	c.mustPublish(fmt.Sprintf(`{"schema_version": 1, "subject": "model:notes", "base": 0, "body": {"service": "engine", "version_digest": %q,
+		"prefer": "time", "min_replicas": 2, "max_replicas": 2, "origin_copies": 2}}`, strings.TrimSpace(out)))
+	c.mustPublish(marketRecord)
+}
+
+const marketRecord = `{"schema_version": 2, "subject": "workspace:market", "base": 0, "body": {"weight": 1, "priority": 0,
+	"routes": [{"service": "engine", "model": "notes"}, {"service": "orders"}]}}`
+
+func (c *cluster) publishServices() {
+	c.t.Helper()
 	c.mustPublish(`{"schema_version": 1, "subject": "service:engine", "base": 0, "body": {"kind": "model", "idempotent": true,
 		"endpoint_concurrency": 8, "models_per_endpoint": 1, "default_deadline_ms": 5000}}`)
 	c.mustPublish(`{"schema_version": 1, "subject": "service:orders", "base": 0, "body": {"kind": "plain", "idempotent": false,
 		"endpoint_concurrency": 8, "default_deadline_ms": 5000}}`)
-	c.mustPublish(fmt.Sprintf(`{"schema_version": 1, "subject": "model:notes", "base": 0, "body": {"service": "engine", "version_digest": %q,
-		"prefer": "time", "min_replicas": 2, "max_replicas": 2, "origin_copies": 2}}`, strings.TrimSpace(out)))
-	c.mustPublish(`{"schema_version": 2, "subject": "workspace:market", "base": 0, "body": {"weight": 1, "priority": 0,
-		"routes": [{"service": "engine", "model": "notes"}, {"service": "orders"}]}}`)
 }
 
 func (c *cluster) eventually(what string, ok func() bool) {
--- a/internal/entryserver/attempt.go
+++ b/internal/entryserver/attempt.go
@@ -192,11 +192,29 @@
 		a.endpoint.Answered(int(a.load.GetRunning()))
 	}
 	clean := a.whole || (failure != nil && failure.outcome != messenger.Outcome_OUTCOME_UNKNOWN)
-	if a.conn != nil && a.stream != nil && clean && a.drained() {
-		a.cancel()
-		s.conns.Put(a.endpoint.Address, a.conn)
+	if a.conn == nil || a.stream == nil || !clean {
+		s.drop(a)
 		return
 	}
+	// The caller need not wait for the sidecar to end the call.
+	if err := s.pool.Submit(func() { s.reuse(a) }); err != nil {
+		s.drop(a)
+	}
+}
+
+// reuse gives the connection of an attempt back when the sidecar has ended the
+// call.
+func (s *Server) reuse(a *attempt) {
+	if !a.drained() {
+		s.drop(a)
+		return
+	}
+	a.cancel()
+	s.conns.Put(a.endpoint.Address, a.conn)
+}
+
+// drop closes the connection of an attempt.
+func (s *Server) drop(a *attempt) {
 	a.cancel()
 	if a.conn != nil {
 		_ = a.conn.Close()
--- a/internal/measurer/baselines.go
+++ b/internal/measurer/baselines.go
@@ -117,16 +117,10 @@
 		for _, i := range reply.GetGained() {
 			held[i] = true
 		}
-		req := &messenger.ChunkRequest{}
-		for held[asked] {
-			req.Indexes = append(req.Indexes, asked)
-			asked++
-		}
-		if len(req.GetIndexes()) == 0 {
-			continue
-		}
-		if err = stream.Send(req); err != nil {
-			return eris.Wrap(err, "ask the node before")
+		for ; held[asked]; asked++ {
+			if err = stream.Send(&messenger.ChunkRequest{Ask: true, Index: asked}); err != nil {
+				return eris.Wrap(err, "ask the node before")
+			}
 		}
 	}
 	return n.assembly.VerifyWhole()
--- a/internal/measurer/config.go
+++ b/internal/measurer/config.go
@@ -48,7 +48,10 @@
 	if err := measureSpread(ctx, cfg, r); err != nil {
 		return err
 	}
-	return measureControlCost(ctx, cfg, r)
+	if err := measureControlCost(ctx, cfg, r); err != nil {
+		return err
+	}
+	return measureState(ctx, cfg, r)
 }
 
 // spreadTopology has three regions, an entry in each, and plain endpoints.
--- /dev/null
+++ b/internal/measurer/state.go
@@ -0,0 +1,90 @@
+package measurer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"flamingoledge.org/flamingoledge/internal/keeper"
+	"flamingoledge.org/flamingoledge/pkg/interpreter"
+	"flamingoledge.org/flamingoledge/pkg/provider"
+)
+
+const (
+	fewSubjects  = 1000
+	manySubjects = 4000
+	foldedMore   = 50
+)
+
+// measureState measures what a process's accepted configuration costs for each
+// subject, and what one more record costs.
+func measureState(_ context.Context, _ Config, r *Report) error {
+	few, err := foldCost(fewSubjects)
+	if err != nil {
+		return err
+	}
+	many, err := foldCost(manySubjects)
+	if err != nil {
+		return err
+	}
+	more := float64(manySubjects - fewSubjects)
+	r.add("fold_seconds_a_record_1000_subjects", few.seconds, "s", Lower)
+	r.add("fold_seconds_a_record_each_1000_subjects_more", (many.seconds-few.seconds)/more*fewSubjects, "s", Lower)
+	r.add("state_bytes_each_subject", (many.memory-few.memory)/more, "bytes", Lower)
+	r.add("update_bytes_each_record", few.update, "bytes", Lower)
+	r.add("snapshot_bytes_each_subject", (many.snapshot-few.snapshot)/more, "bytes", Lower)
+	return nil
+}
+
+type stateCost struct {
+	seconds  float64
+	memory   float64
+	update   float64
+	snapshot float64
+}
+
+func foldCost(subjects int) (c stateCost, err error) {
+	k := keeper.New(interpreter.SchemaNewest)
+	before := heapInUse()
+	if k, err = foldPage(k, 1, subjects); err != nil {
+		return c, err
+	}
+	c.memory = heapInUse() - before
+	started := time.Now()
+	for i := range foldedMore {
+		if k, err = foldPage(k, uint64(subjects+i+1), 1); err != nil {
+			return c, err
+		}
+	}
+	c.seconds = time.Since(started).Seconds() / foldedMore
+	c.update = float64(proto.Size(k.Update(k.State.Through() - 1)))
+	snapshot, err := json.Marshal(k.Snapshot())
+	c.snapshot = float64(len(snapshot))
+	return c, err
+}
+
+func heapInUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// foldPage folds a page of records for new subjects, from an offset on.
+func foldPage(k keeper.Kept, first uint64, n int) (keeper.Kept, error) {
+	p := provider.Page{FirstRetained: 1, Next: first + uint64(n)}
+	for i := range n {
+		offset := first + uint64(i)
+		data, err := json.Marshal(newRecord(fmt.Sprint("workspace:w", offset), 0))
+		if err != nil {
+			return k, err
+		}
+		p.Records = append(p.Records, provider.Record{Offset: offset, Data: data})
+	}
+	next, _, err := k.WithPage(p)
+	return next, err
+}
--- a/internal/measurer/swarm.go
+++ b/internal/measurer/swarm.go
@@ -400,6 +400,16 @@
 	share float64
 }
 
+// RecvMsg receives into a message, as the generated streams do.
+func (c *corruptStream) RecvMsg(req *messenger.ChunkRequest) error {
+	next, err := c.Recv()
+	if err != nil {
+		return err
+	}
+	req.Wanted, req.Ask, req.Index = next.GetWanted(), next.GetAsk(), next.GetIndex()
+	return nil
+}
+
 // Send implements the transfer stream.
 func (c *corruptStream) Send(reply *messenger.ChunkReply) error {
 	if len(reply.GetData()) == 0 || rand.Float64() >= c.share {
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -31,6 +31,10 @@
 
 // Error implements error.
 func (e *ConflictError) Error() string {
+	if e.Offset == 0 {
+		return fmt.Sprintf("record %s for %s was not appended: offset %d is in force; read it, and publish again with base %d",
+			e.RecordID, e.Subject, e.WinnerOffset, e.WinnerOffset)
+	}
 	return fmt.Sprintf("record %s for %s at offset %d is not accepted: offset %d is in force instead; read it, and publish again with base %d",
 		e.RecordID, e.Subject, e.Offset, e.WinnerOffset, e.WinnerOffset)
 }
--- a/internal/transferrer/link.go
+++ b/internal/transferrer/link.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"storj.io/drpc"
 
 	"flamingoledge.org/flamingoledge/internal/messenger"
@@ -12,27 +14,31 @@
 	"flamingoledge.org/flamingoledge/pkg/planner"
 )
 
-// Events that links and origin reads post to the transfer.
-type (
-	peerGained struct {
-		peer    string
-		indexes []uint32
-	}
-	fetchDone struct {
-		fetch planner.Fetch
-		bytes int
-	}
-	fetchFailed struct {
-		fetch planner.Fetch
-		why   planner.Failure
-		err   error
-	}
-	peerGone struct {
-		peer string
-		err  error
-	}
+// eventKind says what an event of a transfer is about.
+type eventKind int
+
+// Kinds of events.
+const (
+	kindGained eventKind = iota + 1
+	kindDone
+	kindFailed
+	kindGone
+	kindMembers
 )
 
+// event is what links, origin reads and the owner post to the run loop. It is one
+// type for all kinds, so that posting it allocates nothing.
+type event struct {
+	kind    eventKind
+	peer    string
+	indexes []uint32
+	fetch   planner.Fetch
+	bytes   int
+	why     planner.Failure
+	err     error
+	members []planner.Member
+}
+
 // link is the exchange with one peer.
 type link struct {
 	peer   string
@@ -52,7 +58,7 @@
 // runLink exchanges with a peer until ctx ends or the connection fails.
 func (t *Transfer) runLink(ctx context.Context, l *link) {
 	err := t.exchangeWith(ctx, l)
-	t.post(peerGone{peer: l.peer, err: err})
+	t.post(event{kind: kindGone, peer: l.peer, err: err})
 }
 
 func (t *Transfer) exchangeWith(ctx context.Context, l *link) error {
@@ -79,17 +85,14 @@
 func (t *Transfer) sendRequests(ctx context.Context, l *link, stream messenger.DRPCTransfer_ExchangeClient) {
 	req := &messenger.ChunkRequest{}
 	for {
-		req.Indexes = req.Indexes[:0]
-		req.Wanted = nil
+		req.Wanted, req.Ask = nil, false
 		select {
 		case <-ctx.Done():
 			return
 		case req.Wanted = <-l.wants:
-		case i := <-l.outbox:
-			req.Indexes = append(req.Indexes, i)
-		}
-		for _, i := range req.GetIndexes() {
-			if !wait(ctx, t.paceFetch(l.peer, int(i))) {
+		case req.Index = <-l.outbox:
+			req.Ask = true
+			if !wait(ctx, t.paceFetch(l.peer, int(req.GetIndex()))) {
 				return
 			}
 		}
@@ -100,34 +103,45 @@
 }
 
 func (t *Transfer) receiveReplies(l *link, stream messenger.DRPCTransfer_ExchangeClient) error {
+	into, ok := stream.(replyReceiver)
+	if !ok {
+		return eris.New("the stream can't receive into a message")
+	}
+	reply := &messenger.ChunkReply{}
 	for {
-		reply, err := stream.Recv()
-		if err != nil {
+		if err := into.RecvMsg(reply); err != nil {
 			return err
 		}
 		t.handleReply(l, reply)
+		reply.Data = nil
 	}
 }
 
+// replyReceiver is implemented by the generated streams. Receiving into the same
+// message leaves a chunk's buffer as the only allocation.
+type replyReceiver interface {
+	RecvMsg(*messenger.ChunkReply) error
+}
+
 func (t *Transfer) handleReply(l *link, reply *messenger.ChunkReply) {
 	f := planner.Fetch{Index: int(reply.GetIndex()), Peer: l.peer}
 	switch {
 	case reply.GetMissing():
-		t.post(fetchFailed{fetch: f, why: planner.FailureMissing})
+		t.post(event{kind: kindFailed, fetch: f, why: planner.FailureMissing})
 	case reply.Data != nil:
 		t.keep(f, reply.GetData())
 	default:
-		t.post(peerGained{peer: l.peer, indexes: reply.GetGained()})
+		t.post(event{kind: kindGained, peer: l.peer, indexes: slices.Clone(reply.GetGained())})
 	}
 }
 
 // keep verifies a chunk and puts it in the assembly.
 func (t *Transfer) keep(f planner.Fetch, data []byte) {
 	if _, err := t.cfg.Assembly.Put(f.Index, data); err != nil {
-		t.post(fetchFailed{fetch: f, why: planner.FailureCorrupt, err: err})
+		t.post(event{kind: kindFailed, fetch: f, why: planner.FailureCorrupt, err: err})
 		return
 	}
-	t.post(fetchDone{fetch: f, bytes: len(data)})
+	t.post(event{kind: kindDone, fetch: f, bytes: len(data)})
 }
 
 // fetchFromOrigin reads one chunk from the origin.
@@ -136,12 +150,12 @@
 	defer cancel()
 	m := t.cfg.Assembly.Manifest()
 	if !wait(ctx, t.cfg.Down.Reserve(time.Now(), m.ChunkLen(f.Index))) {
-		t.post(fetchFailed{fetch: f, why: planner.FailureUnavailable, err: ctx.Err()})
+		t.post(event{kind: kindFailed, fetch: f, why: planner.FailureUnavailable, err: ctx.Err()})
 		return
 	}
 	buf := make([]byte, m.ChunkLen(f.Index))
 	if err := t.cfg.Origin.ReadAt(ctx, m.WeightsDigest, m.ChunkOffset(f.Index), buf); err != nil {
-		t.post(fetchFailed{fetch: f, why: planner.FailureUnavailable, err: err})
+		t.post(event{kind: kindFailed, fetch: f, why: planner.FailureUnavailable, err: err})
 		return
 	}
 	t.keep(f, buf)
--- a/internal/transferrer/server.go
+++ b/internal/transferrer/server.go
@@ -68,9 +68,13 @@
 }
 
 func (e *exchange) receive(ctx context.Context) {
+	into, ok := e.stream.(requestReceiver)
+	if !ok {
+		return
+	}
+	req := &messenger.ChunkRequest{}
 	for {
-		req, err := e.stream.Recv()
-		if err != nil {
+		if err := into.RecvMsg(req); err != nil {
 			return
 		}
 		if req.Wanted != nil {
@@ -80,16 +84,22 @@
 				return
 			}
 		}
-		for _, i := range req.GetIndexes() {
-			select {
-			case e.requests <- i:
-			case <-ctx.Done():
-				return
-			}
+		if !req.GetAsk() {
+			continue
+		}
+		select {
+		case e.requests <- req.GetIndex():
+		case <-ctx.Done():
+			return
 		}
 	}
 }
 
+// requestReceiver is implemented by the generated streams.
+type requestReceiver interface {
+	RecvMsg(*messenger.ChunkRequest) error
+}
+
 func (e *exchange) serve(ctx context.Context) error {
 	e.told = chunker.NewIndexSet(len(e.assembly.Manifest().Chunks))
 	if err := e.tellGains(); err != nil {
@@ -103,7 +113,7 @@
 		case <-ctx.Done():
 			return nil
 		case i := <-e.requests:
-			reply = messenger.ChunkReply{Index: i, Data: e.assembly.Chunk(int(i))}
+			reply.Index, reply.Data = i, e.assembly.Chunk(int(i))
 			reply.Missing = reply.Data == nil
 			if !wait(ctx, e.up.Reserve(time.Now(), len(reply.GetData()))) {
 				return nil
--- a/internal/transferrer/transfer.go
+++ b/internal/transferrer/transfer.go
@@ -59,7 +59,7 @@
 // Transfer fetches one version until it is complete.
 type Transfer struct {
 	cfg     Config
-	events  chan any
+	events  chan event
 	done    chan struct{}
 	planner *planner.Planner
 	links   map[string]*link
@@ -69,19 +69,19 @@
 	regions map[string]string
 }
 
-type setMembers struct{ members []planner.Member }
-
 // New returns a transfer that does not run yet.
 func New(cfg Config) *Transfer {
-	return &Transfer{cfg: cfg, events: make(chan any, eventQueue), done: make(chan struct{}), links: map[string]*link{}}
+	return &Transfer{cfg: cfg, events: make(chan event, eventQueue), done: make(chan struct{}), links: map[string]*link{}}
 }
 
 // SetMembers hands over a newer list of members.
-func (t *Transfer) SetMembers(members []planner.Member) { t.post(setMembers{members: members}) }
+func (t *Transfer) SetMembers(members []planner.Member) {
+	t.post(event{kind: kindMembers, members: members})
+}
 
 // post hands an event to the run loop. Events wait while the loop is busy; after
 // its end they are dropped.
-func (t *Transfer) post(e any) {
+func (t *Transfer) post(e event) {
 	select {
 	case t.events <- e:
 	case <-t.done:
@@ -121,7 +121,7 @@
 }
 
 // handleAll handles an event and those that wait behind it.
-func (t *Transfer) handleAll(e any) {
+func (t *Transfer) handleAll(e event) {
 	for {
 		t.handle(time.Now(), e)
 		select {
@@ -132,23 +132,23 @@
 	}
 }
 
-func (t *Transfer) handle(now time.Time, e any) {
-	switch e := e.(type) {
-	case setMembers:
+func (t *Transfer) handle(now time.Time, e event) {
+	switch e.kind {
+	case kindMembers:
 		t.takeMembers(e.members)
-	case peerGained:
+	case kindGained:
 		for _, i := range e.indexes {
 			t.planner.PeerGained(e.peer, int(i))
 		}
-	case fetchDone:
+	case kindDone:
 		t.countDone(e)
 		t.noteReply(now, e.fetch)
 		t.planner.Done(now, e.fetch)
-	case fetchFailed:
+	case kindFailed:
 		t.logFailure(e)
 		t.noteReply(now, e.fetch)
 		t.planner.Failed(now, e.fetch, e.why)
-	case peerGone:
+	case kindGone:
 		t.planner.PeerGone(e.peer)
 		if l := t.links[e.peer]; l != nil {
 			l.gone = true
@@ -258,7 +258,7 @@
 	}
 }
 
-func (t *Transfer) countDone(e fetchDone) {
+func (t *Transfer) countDone(e event) {
 	t.stats.Bytes += int64(e.bytes)
 	switch {
 	case e.fetch.FromOrigin():
@@ -270,7 +270,7 @@
 	}
 }
 
-func (t *Transfer) logFailure(e fetchFailed) {
+func (t *Transfer) logFailure(e event) {
 	switch {
 	case isCorrupt(e.err):
 		t.stats.Corrupt++
--- /dev/null
+++ b/internal/transferrer/transfer_test.go
@@ -0,0 +1,125 @@
+package transferrer_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+
+	"flamingoledge.org/flamingoledge/internal/connector"
+	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/internal/transferrer"
+	"flamingoledge.org/flamingoledge/pkg/assembler"
+	"flamingoledge.org/flamingoledge/pkg/chunker"
+	"flamingoledge.org/flamingoledge/pkg/planner"
+)
+
+const benchChunk = 16 << 10
+
+// holder serves a whole version on loopback.
+func holder(tb testing.TB, weights []byte) (m chunker.Manifest, address string) {
+	tb.Helper()
+	m, err := chunker.Split("m", "v", weights, benchChunk)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	store := transferrer.NewStore()
+	a := assembler.New("v", m)
+	for i := range m.Chunks {
+		if _, err = a.Put(i, weights[m.ChunkOffset(i):][:m.ChunkLen(i)]); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	store.Put(a)
+	mux := drpcmux.New()
+	if err = messenger.DRPCRegisterTransfer(mux, &transferrer.Server{Store: store}); err != nil {
+		tb.Fatal(err)
+	}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = connector.Serve(ctx, lis, nil, mux)
+	}()
+	tb.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return m, lis.Addr().String()
+}
+
+// fetch takes the version from its holder.
+func fetch(tb testing.TB, m chunker.Manifest, address string) *assembler.Assembly {
+	tb.Helper()
+	a := assembler.New("v", m)
+	d := &connector.Dialer{}
+	t := transferrer.New(transferrer.Config{
+		Assembly: a,
+		Planner: planner.Config{
+			Self: planner.Member{Instance: "self", Region: "b"}, VersionDigest: "v", Chunks: len(m.Chunks), OriginRegion: "a",
+			OriginRanks: 1, EagerRanks: 1, Neighbors: 4, PeerWindow: 8, OriginWindow: 0, TotalWindow: 8,
+			TakeoverAfter: time.Minute, ChunkTimeout: time.Minute, Rand: rand.New(rand.NewPCG(1, 1)),
+		},
+		Members: []planner.Member{{Instance: "self", Region: "b"}, {Instance: "holder", Region: "b"}},
+		Dial:    func(ctx context.Context, _ string) (drpc.Conn, error) { return d.Dial(ctx, address) },
+		Submit:  func(func()) error { return nil },
+		Logger:  zap.NewNop(),
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if _, err := t.Run(ctx); err != nil {
+		tb.Fatal(err)
+	}
+	return a
+}
+
+func TestTransferTakesTheWholeVersion(t *testing.T) {
+	is := is.New(t)
+	weights := make([]byte, 100*benchChunk+17)
+	_, _ = rand.NewChaCha8([32]byte{1}).Read(weights)
+	m, address := holder(t, weights)
+	is.NoErr(fetch(t, m, address).VerifyWhole())
+}
+
+// BenchmarkChunk moves chunks over loopback. Beyond a chunk's buffer, what a
+// whole transfer allocates must not grow with its chunks.
+func BenchmarkChunk(b *testing.B) {
+	weights := make([]byte, max(b.N, 1)*benchChunk)
+	m, address := holder(b, weights)
+	b.SetBytes(benchChunk)
+	b.ReportAllocs()
+	b.ResetTimer()
+	fetch(b, m, address)
+}
+
+// allocations returns how many objects the transfer of n chunks allocates.
+func allocations(tb testing.TB, n int) float64 {
+	tb.Helper()
+	weights := make([]byte, n*benchChunk)
+	m, address := holder(tb, weights)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	fetch(tb, m, address)
+	runtime.ReadMemStats(&after)
+	return float64(after.Mallocs - before.Mallocs)
+}
+
+func TestChunksAllocateTheirBuffersOnly(t *testing.T) {
+	const few, many = 500, 2500
+	each := (allocations(t, many) - allocations(t, few)) / (many - few)
+	t.Logf("%.2f allocations for each chunk", each)
+	if each > 1.5 {
+		t.Errorf("%.2f allocations for each chunk, want its buffer and no other", each)
+	}
+}
--- a/pkg/planner/next.go
+++ b/pkg/planner/next.go
@@ -16,12 +16,13 @@
 )
 
 // Next returns the fetches to start now. Each is in flight until Done, Failed
-// or PeerGone says otherwise.
+// or PeerGone says otherwise. The slice is used again by the next call.
 func (p *Planner) Next(now time.Time) []Fetch {
-	var fs []Fetch
+	fs := p.planned[:0]
 	fs = p.planOutside(now, fs)
 	fs = p.planLocal(now, fs)
-	return p.planHedges(now, fs)
+	p.planned = p.planHedges(now, fs)
+	return p.planned
 }
 
 // planOutside starts the fetches that bring chunks into the region, first,
@@ -32,7 +33,7 @@
 			continue
 		}
 		if f, ok := p.outsideSource(now, i); ok {
-			fs = append(fs, p.start(now, f, false))
+			fs = append(fs, p.start(now, f))
 		}
 	}
 	return fs
@@ -68,6 +69,9 @@
 
 // planLocal pulls the rarest chunks from the least busy neighbours.
 func (p *Planner) planLocal(now time.Time, fs []Fetch) []Fetch {
+	if p.inFlight >= p.cfg.TotalWindow {
+		return fs
+	}
 	names := p.localPeers(now)
 	for p.inFlight < p.cfg.TotalWindow && len(names) > 0 {
 		slices.SortStableFunc(names, func(a, b string) int {
@@ -79,7 +83,7 @@
 			if !ok {
 				continue
 			}
-			fs = append(fs, p.start(now, Fetch{Index: i, Peer: n}, false))
+			fs = append(fs, p.start(now, Fetch{Index: i, Peer: n}))
 			found = true
 			if !p.usable(now, p.peers[n]) {
 				names = slices.Delete(names, k, k+1)
@@ -93,16 +97,21 @@
 	return fs
 }
 
-// localPeers returns the usable peers of the own region in random order.
+// localPeers returns the usable peers of the own region in random order. The
+// slice is used again by the next call.
 func (p *Planner) localPeers(now time.Time) []string {
-	var names []string
+	names := p.usables[:0]
 	for _, n := range p.names {
 		pr := p.peers[n]
 		if pr.member.Region == p.cfg.Self.Region && p.usable(now, pr) {
 			names = append(names, n)
 		}
 	}
-	p.cfg.Rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	p.usables = names
+	for i := len(names) - 1; i > 0; i-- {
+		j := p.cfg.Rand.IntN(i + 1)
+		names[i], names[j] = names[j], names[i]
+	}
 	return names
 }
 
@@ -140,13 +149,13 @@
 	}
 	p.hedgedAt = now
 	for _, i := range p.stalled(now) {
-		source := p.flights[i][0].source
+		source := p.flights[i].all[0].source
 		if pr := p.peers[source]; pr != nil {
 			pr.slowTill = now.Add(slowPenalty)
 		}
 		for _, n := range p.localPeers(now) {
 			if n != source && p.peers[n].held.Has(i) {
-				fs = append(fs, p.start(now, Fetch{Index: i, Peer: n}, true))
+				fs = append(fs, p.start(now, Fetch{Index: i, Peer: n}))
 				break
 			}
 		}
@@ -158,12 +167,13 @@
 // the chunk timeout.
 func (p *Planner) stalled(now time.Time) []int {
 	var is []int
-	for i, flights := range p.flights {
-		if len(flights) >= maxInFlightPerChunk {
+	for i, fs := range p.flights {
+		if fs.n >= maxInFlightPerChunk {
 			continue
 		}
-		since := flights[0].since
-		if pr := p.peers[flights[0].source]; pr != nil && pr.lastArrival.After(since) {
+		first := fs.all[0]
+		since := first.since
+		if pr := p.peers[first.source]; pr != nil && pr.lastArrival.After(since) {
 			since = pr.lastArrival
 		}
 		if now.Sub(since) >= p.cfg.ChunkTimeout {
@@ -174,8 +184,11 @@
 	return is
 }
 
-func (p *Planner) start(now time.Time, f Fetch, hedged bool) Fetch {
-	p.flights[f.Index] = append(p.flights[f.Index], flight{source: f.Peer, since: now, hedged: hedged})
+func (p *Planner) start(now time.Time, f Fetch) Fetch {
+	fs := p.flights[f.Index]
+	fs.all[fs.n] = flight{source: f.Peer, since: now}
+	fs.n++
+	p.flights[f.Index] = fs
 	p.busy.Add(f.Index)
 	p.inFlight++
 	if f.FromOrigin() {
--- a/pkg/planner/path.go
+++ b/pkg/planner/path.go
@@ -36,6 +36,7 @@
 		pr.member.Region = p.regionOf(name)
 	}
 	p.local = p.neighbors()
+	p.remote = p.remoteRegions()
 	p.paths = make([]path, p.cfg.Chunks)
 	p.outside = p.outside[:0]
 	for i := range p.paths {
@@ -129,17 +130,16 @@
 }
 
 func (p *Planner) pathOf(i int) path {
-	key := fmt.Sprintf("%s/%d", p.cfg.VersionDigest, i)
 	region := p.cfg.Self.Region
-	pt := path{rank: p.rankIn(key, region)}
+	pt := path{rank: p.rankIn(i, region)}
 	if pt.rank == notRanked || region == p.cfg.OriginRegion {
 		return pt
 	}
 	first := p.firstRemoteRegion(i)
 	if first != region && first != "" {
-		pt.upstreams = append(pt.upstreams, ranker.Top(key, p.byRegion[first], p.cfg.OriginRanks)...)
+		pt.upstreams = append(pt.upstreams, ranker.TopIndexed(p.cfg.VersionDigest, i, p.byRegion[first], p.cfg.OriginRanks)...)
 	}
-	pt.upstreams = append(pt.upstreams, ranker.Top(key, p.byRegion[p.cfg.OriginRegion], p.cfg.OriginRanks)...)
+	pt.upstreams = append(pt.upstreams, ranker.TopIndexed(p.cfg.VersionDigest, i, p.byRegion[p.cfg.OriginRegion], p.cfg.OriginRanks)...)
 	return pt
 }
 
@@ -147,24 +147,30 @@
 // region fetches the chunk from the origin's region and the other remote regions
 // fetch it from there, so that the links between remote regions carry a share.
 func (p *Planner) firstRemoteRegion(i int) string {
+	if len(p.remote) == 0 {
+		return ""
+	}
+	return p.remote[i%len(p.remote)]
+}
+
+// remoteRegions returns the regions with members that are not the origin's, by
+// name.
+func (p *Planner) remoteRegions() []string {
 	var remote []string
 	for r, members := range p.byRegion {
 		if r != p.cfg.OriginRegion && len(members) > 0 {
 			remote = append(remote, r)
 		}
 	}
-	if len(remote) == 0 {
-		return ""
-	}
 	slices.Sort(remote)
-	return remote[i%len(remote)]
+	return remote
 }
 
-func (p *Planner) rankIn(key, region string) int {
-	own := ranker.Weight(key, p.cfg.Self.Instance)
+func (p *Planner) rankIn(i int, region string) int {
+	own := ranker.WeightIndexed(p.cfg.VersionDigest, i, p.cfg.Self.Instance)
 	rank := 0
 	for _, m := range p.byRegion[region] {
-		if ranker.Weight(key, m) > own {
+		if ranker.WeightIndexed(p.cfg.VersionDigest, i, m) > own {
 			rank++
 		}
 	}
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -101,7 +101,25 @@
 type flight struct {
 	source string
 	since  time.Time
-	hedged bool
+}
+
+// flights are the fetches of one chunk that are under way, the first one first.
+type flights struct {
+	all [maxInFlightPerChunk]flight
+	n   int
+}
+
+// without returns the flights but the one from source; false if there is none.
+func (f flights) without(source string) (flights, bool) {
+	for k := range f.n {
+		if f.all[k].source != source {
+			continue
+		}
+		copy(f.all[k:], f.all[k+1:f.n])
+		f.n--
+		return f, true
+	}
+	return f, false
 }
 
 // Planner plans the fetches of one version for one instance.
@@ -115,6 +133,8 @@
 	paths    []path
 	// local are the neighbours of the own region.
 	local []Peer
+	// remote are the regions other than the origin's.
+	remote []string
 	// outside lists the chunks that self may fetch from outside the region.
 	outside []int
 
@@ -127,9 +147,12 @@
 	// copies counts the peers that hold each chunk.
 	copies   []uint16
 	busy     chunker.IndexSet
-	flights  map[int][]flight
+	flights  map[int]flights
 	inFlight int
 
+	// planned and usables are used again by each Next.
+	planned []Fetch
+	usables []string
 	// hedgedAt is when stalled fetches were last looked for.
 	hedgedAt time.Time
 
@@ -148,7 +171,7 @@
 		count:        held.Len(),
 		copies:       make([]uint16, cfg.Chunks),
 		busy:         chunker.NewIndexSet(cfg.Chunks),
-		flights:      map[int][]flight{},
+		flights:      map[int]flights{},
 	}
 }
 
@@ -251,24 +274,20 @@
 
 // land ends the flight of chunk i from source, if there is one.
 func (p *Planner) land(i int, source string) {
-	fs := p.flights[i]
-	for k, f := range fs {
-		if f.source != source {
-			continue
-		}
-		p.inFlight--
-		if source == "" {
-			p.originInFlight--
-		} else if pr := p.peers[source]; pr != nil {
-			pr.inFlight--
-		}
-		fs = append(fs[:k], fs[k+1:]...)
-		break
+	rest, ok := p.flights[i].without(source)
+	if !ok {
+		return
+	}
+	p.inFlight--
+	if source == "" {
+		p.originInFlight--
+	} else if pr := p.peers[source]; pr != nil {
+		pr.inFlight--
 	}
-	if len(fs) == 0 {
+	if rest.n == 0 {
 		p.busy.Remove(i)
 		delete(p.flights, i)
 		return
 	}
-	p.flights[i] = fs
+	p.flights[i] = rest
 }
