Avoid slow endpoints, and keep places by the others' demand

Change: the router keeps each endpoint's time between pieces, which does not depend on caches, beside its group's, makes slow ones dearer and maps prefixes past them until they have been quiet for 15 s; the reserve is the square root of what others use.

--- a/internal/entryserver/attempt.go
+++ b/internal/entryserver/attempt.go
@@ -50,6 +50,10 @@
 	whole    bool
 	replayed bool
 	ended    bool
+	// began, firstAt and pieces say how the answer came.
+	began   time.Time
+	firstAt time.Time
+	pieces  int
 	// load is what the sidecar reported with its final word.
 	load *messenger.Load
 }
@@ -63,6 +67,7 @@
 	c.reason = string(choice.Reason)
 	s.logRoute(c, a, choice)
 	choice.Endpoint.Begin()
+	began := time.Now()
 	if err := s.open(ctx, c, a); err != nil {
 		s.endAttempt(a, err)
 		return nil, err
@@ -71,9 +76,21 @@
 		s.endAttempt(a, err)
 		return nil, err
 	}
+	a.began, a.firstAt = began, time.Now()
 	return a, nil
 }
 
+// notePace tells the router how fast the endpoint answered: the time between the
+// pieces of a stream, or that of an answer in one piece.
+func (s *Server) notePace(a *attempt) {
+	now := time.Now()
+	taken := a.firstAt.Sub(a.began)
+	if a.pieces > 1 {
+		taken = now.Sub(a.firstAt) / time.Duration(a.pieces-1)
+	}
+	s.board.View().table.Paced(now, a.group, a.endpoint, taken)
+}
+
 func (s *Server) logRoute(c *call, a *attempt, choice router.Choice) {
 	logger.Log(s.cfg.Logger, logger.RouteChosen,
 		zap.String("request_id", c.requestID),
@@ -156,6 +173,7 @@
 	if err != nil {
 		return nil, lost(err)
 	}
+	a.pieces++
 	a.replayed = a.replayed || reply.GetReplayed()
 	if reply.Load != nil {
 		a.load = reply.GetLoad()
@@ -188,6 +206,9 @@
 	if table.End(time.Now(), a.group, a.endpoint, !blamed) {
 		logger.Log(s.cfg.Logger, logger.EndpointEjected, zap.String("endpoint", a.endpoint.Instance))
 	}
+	if a.whole && !a.replayed {
+		s.notePace(a)
+	}
 	if a.load != nil {
 		a.endpoint.Answered(int(a.load.GetRunning()))
 	}
--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -4,6 +4,7 @@
 package admitter
 
 import (
+	"math"
 	"time"
 )
 
@@ -41,9 +42,9 @@
 const (
 	// smoothing is the share of a new measurement in the mean service time.
 	smoothing = 0.1
-	// reserveShare is the part of the limit that workspaces above their share
-	// leave to the others, so that these need not wait for a place.
-	reserveShare = 0.1
+	// withinSmoothing is the share of a new count in the mean number of requests
+	// of workspaces within their share.
+	withinSmoothing = 0.02
 	// reserveFrom is the limit from which at least one place is reserved.
 	reserveFrom = 4
 )
@@ -57,6 +58,9 @@
 	byID      map[uint64]*waiter
 	virtual   float64
 	meanTaken time.Duration
+	// within is the smoothed number of requests in progress of workspaces that
+	// are not above their share.
+	within float64
 }
 
 // space is the state of one workspace. It exists while the workspace has
@@ -94,6 +98,7 @@
 	}
 	s := q.spaceOf(r)
 	defer q.forgetIdle(s)
+	q.noteWithin()
 	if len(s.queue) == 0 && q.mayStart(s) {
 		q.virtual = s.stamp(q.virtual, r)
 		q.start(s)
@@ -198,11 +203,25 @@
 	return q.running < limit
 }
 
+// reserve is how many places workspaces above their share leave to the others, so
+// that these need not wait for one. The number in use by the others varies about
+// as its square root.
 func (q *Queue) reserve() int {
 	if q.cfg.Limit < reserveFrom {
 		return 0
 	}
-	return max(int(reserveShare*float64(q.cfg.Limit)), 1)
+	return min(int(math.Ceil(math.Sqrt(q.within)))+1, q.cfg.Limit/2)
+}
+
+// noteWithin counts the requests in progress within shares.
+func (q *Queue) noteWithin() {
+	n := 0
+	for _, s := range q.spaces {
+		if !q.isAboveShare(s) {
+			n += s.running
+		}
+	}
+	q.within += withinSmoothing * (float64(n) - q.within)
 }
 
 // isAboveShare tells whether a workspace has its share of the limit in progress,
--- a/pkg/router/pick.go
+++ b/pkg/router/pick.go
@@ -75,8 +75,8 @@
 	if !ok || q.AffinityKey == 0 {
 		return c, ok
 	}
-	if f := g.onRing(now, q, q.AffinityKey); f != nil {
-		if cost := f.cost(cfg, now); cost <= c.Cost+cfg.AffinityBound {
+	if f := g.onRing(now, q, q.AffinityKey, g.isSlow); f != nil {
+		if cost := g.cost(cfg, now, f); cost <= c.Cost+cfg.AffinityBound {
 			return Choice{Endpoint: f, Reason: ReasonAffinity, Cost: cost, OtherCost: c.Cost}, true
 		}
 	}
@@ -97,7 +97,7 @@
 		if e == nil || e == c.Endpoint {
 			continue
 		}
-		cost := e.cost(cfg, now)
+		cost := g.cost(cfg, now, e)
 		switch {
 		case !ok:
 			c, ok = Choice{Endpoint: e, Reason: ReasonOnly, Cost: cost}, true
@@ -112,7 +112,7 @@
 }
 
 func (g *group) pickOwner(cfg Config, now time.Time, q Query) (Choice, bool) {
-	e := g.onRing(now, q, q.OwnerKey)
+	e := g.onRing(now, q, q.OwnerKey, nil)
 	if e == nil {
 		return Choice{}, false
 	}
@@ -149,28 +149,36 @@
 	return e.isEjected(now) || slices.Contains(q.Exclude, e.Instance)
 }
 
-// onRing returns the first usable endpoint after key on the ring.
-func (g *group) onRing(now time.Time, q Query, key uint64) *Endpoint {
+// onRing returns the first usable endpoint after key on the ring that is not to
+// be avoided, or else the first one that is not ejected.
+func (g *group) onRing(now time.Time, q Query, key uint64, avoid func(time.Time, *Endpoint) bool) *Endpoint {
 	start, _ := slices.BinarySearchFunc(g.ring, key, func(p point, k uint64) int {
 		if p.hash < k {
 			return -1
 		}
 		return 1
 	})
-	var ejected *Endpoint
+	var ejected, avoided *Endpoint
 	for i := range g.ring {
 		e := g.endpoints[g.ring[(start+i)%len(g.ring)].endpoint]
-		if slices.Contains(q.Exclude, e.Instance) {
-			continue
-		}
-		if !e.isEjected(now) {
+		switch {
+		case slices.Contains(q.Exclude, e.Instance):
+		case e.isEjected(now):
+			ejected = firstOf(ejected, e)
+		case avoid != nil && avoid(now, e):
+			avoided = firstOf(avoided, e)
+		default:
 			return e
 		}
-		if ejected == nil {
-			ejected = e
-		}
 	}
-	return ejected
+	return firstOf(avoided, ejected)
+}
+
+func firstOf(a, b *Endpoint) *Endpoint {
+	if a != nil {
+		return a
+	}
+	return b
 }
 
 // cost is the load after one more attempt, as a share of capacity. The report
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -86,6 +86,30 @@
 	is.True(back)
 }
 
+func TestSlowEndpointIsAvoidedForAWhile(t *testing.T) {
+	is := is.New(t)
+	table := router.NewTable(endpoints(4), nil)
+	for i := range 200 {
+		e, ok := table.Find(group, fmt.Sprintf("e%02d", i%4))
+		is.True(ok)
+		taken := 10 * time.Millisecond
+		if i%4 == 2 {
+			taken *= 5
+		}
+		table.Paced(now, group, e, taken)
+	}
+	share := func(at time.Time) (n int) {
+		for range 400 {
+			if c, _ := table.Pick(cfg, at, router.Query{Group: group, Random: rand.Uint64(), AffinityKey: rand.Uint64()}); c.Endpoint.Instance == "e02" {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(share(now), 0)
+	is.True(share(now.Add(time.Minute)) > 40) // it is tried again
+}
+
 func TestSomeEndpointIsAlwaysLeft(t *testing.T) {
 	is := is.New(t)
 	table := router.NewTable(endpoints(4), nil)
--- a/pkg/router/table.go
+++ b/pkg/router/table.go
@@ -60,6 +60,7 @@
 	// an answer, and atReport the own attempts that were part of it.
 	reported    atomic.Int64
 	atReport    atomic.Int64
+	pace        pace
 	failures    atomic.Int64
 	ejections   atomic.Int64
 	ejectedTill atomic.Int64
@@ -80,6 +81,8 @@
 	endpoints []*Endpoint
 	ring      []point
 	capacity  int
+	// pace is the usual one in the group. It outlives tables.
+	pace *pace
 }
 
 // Table is an immutable view of the endpoints by group.
@@ -108,7 +111,12 @@
 		}
 	}
 	for key, g := range t.groups {
-		g.buildRing(prev.group(key))
+		before := prev.group(key)
+		g.buildRing(before)
+		g.pace = &pace{}
+		if before != nil {
+			g.pace = before.pace
+		}
 	}
 	return t
 }
