Keep waiting requests out of an endpoint that just died

Cause: a trace of the poison experiment: an innocent request that waited for the endpoint alone entered it right after a crashing one had killed it, failed on a stale connection, and as a second death under the same call was given up. Change: the first sign of a death withdraws every version before anybody else enters. Conclusion: the check in the test now counts lost innocents too.

--- a/internal/deployer/safety_test.go
+++ b/internal/deployer/safety_test.go
@@ -23,7 +23,9 @@
 
 	mu       sync.Mutex
 	answered int
-	foreign  []string
+	// lost counts the requests whose outcome their caller does not know.
+	lost    int
+	foreign []string
 }
 
 func startAsking(s *system, callers int) *asker {
@@ -44,6 +46,11 @@
 		body := prompt(fmt.Sprint("caller ", c, " question ", i))
 		reply, err := a.system.ask(i%2, body)
 		if err != nil || !reply.Whole || reply.Outcome != entryserver.OutcomeAnswered {
+			a.mu.Lock()
+			if err != nil || reply.Outcome == entryserver.OutcomeUnknown {
+				a.lost++
+			}
+			a.mu.Unlock()
 			continue
 		}
 		a.check(reply.VersionDigest, body, reply.Body, reply.Frames)
@@ -208,5 +215,6 @@
 	is.True(crashes <= 3)
 	answered, foreign := asking.finish()
 	is.True(answered > 0)
+	is.Equal(asking.lost, 0)
 	is.Equal(foreign, nil)
 }
--- a/internal/measurer/drain.go
+++ b/internal/measurer/drain.go
@@ -16,8 +16,8 @@
 
 const (
 	drainNewWorkBound = 2.0
-	drainRate         = 400.0
-	drainRequests     = 10_000
+	drainRate         = 600.0
+	drainRequests     = 16_000
 	drainQuick        = 1500
 	drainListLag      = 10 * time.Second
 	drainDeadline     = 5 * time.Second
--- a/internal/sidecarserver/deaths.go
+++ b/internal/sidecarserver/deaths.go
@@ -75,6 +75,8 @@
 	report.lost[t.fingerprint] = struct{}{}
 	d.mu.Unlock()
 	if first {
+		// Those that wait for a place must not enter a dead endpoint.
+		d.server.rollout.withdrawAll("endpoint died")
 		time.Sleep(deathSettle)
 		d.send(t.epoch, report)
 		close(report.done)
--- a/internal/sidecarserver/guard.go
+++ b/internal/sidecarserver/guard.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -120,6 +122,13 @@
 	return ok
 }
 
+// allowedVersions returns the versions that attempts may enter for.
+func (g *guard) allowedVersions() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Collect(maps.Keys(g.allowed))
+}
+
 func (g *guard) isAllowed(version string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/sidecarserver/rollout.go
+++ b/internal/sidecarserver/rollout.go
@@ -261,6 +261,13 @@
 	r.server.board.Post(versionProgressed{versionDigest: version, held: held})
 }
 
+// withdrawAll withdraws every version until the endpoint reports it again.
+func (r *rollout) withdrawAll(reason string) {
+	for _, version := range r.server.guard.allowedVersions() {
+		r.withdraw(version, reason)
+	}
+}
+
 // unloadUnwanted drops what the endpoint holds and no record in force asks for.
 func (r *rollout) unloadUnwanted(ctx context.Context, v *state) {
 	keep := map[string]struct{}{}
