--- a/cmd/flamingoledge/cmds/roles.go
+++ b/cmd/flamingoledge/cmds/roles.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
+	"flamingoledge.org/flamingoledge/internal/announcer"
 	"flamingoledge.org/flamingoledge/internal/authenticator"
 	"flamingoledge.org/flamingoledge/internal/configurator"
 	"flamingoledge.org/flamingoledge/internal/connector"
@@ -162,6 +163,7 @@
 		Logger:            p.logger,
 		MaxBodyBytes:      set.MaxBodyBytes,
 		DrainTimeout:      millis(set.DrainTimeoutMillis),
+		ListInterval:      announcer.DefaultInterval,
 		HeartbeatTimeout:  millis(set.HeartbeatTimeoutMillis),
 		MaxWaiting:        set.MaxWaiting,
 		Overcommit:        set.Overcommit,
@@ -208,6 +210,7 @@
 		Logger:            p.logger,
 		OriginRegion:      set.OriginRegion,
 		ControlEntries:    set.ControlEntries,
+		ListInterval:      announcer.DefaultInterval,
 		HeartbeatInterval: sidecarserver.DefaultHeartbeatInterval,
 		DrainTimeout:      millis(set.DrainTimeoutMillis),
 		LeaseDuration:     millis(set.LeaseMillis),
--- a/internal/deployer/deployment.go
+++ b/internal/deployer/deployment.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"flamingoledge.org/flamingoledge/internal/announcer"
 	"flamingoledge.org/flamingoledge/internal/authenticator"
 	"flamingoledge.org/flamingoledge/internal/connector"
 	"flamingoledge.org/flamingoledge/internal/emulator"
@@ -27,6 +28,8 @@
 	Logger *zap.Logger
 	// KeyDirectory, if set, gets throw-away keys, and the processes use TLS.
 	KeyDirectory string
+	// ListInterval is the time between readings of the list; 0 is the usual one.
+	ListInterval time.Duration
 	// Sidecar and Entry, if set, change the settings of each process.
 	Sidecar func(*sidecarserver.Config)
 	Entry   func(*entryserver.Config)
@@ -82,6 +85,9 @@
 
 // Start starts a deployment.
 func Start(ctx context.Context, t Topology, o Options) (d *Deployment, err error) {
+	if o.ListInterval == 0 {
+		o.ListInterval = announcer.DefaultInterval
+	}
 	d = &Deployment{Topology: t, options: o, Network: NewNetwork(t.Links, t.Regions[0])}
 	d.ctx, d.stop = context.WithCancel(ctx)
 	if err = d.start(); err != nil {
@@ -245,6 +251,7 @@
 		Logger:            d.options.Logger.With(zap.String("role", "entry"), zap.String("instance", name)),
 		MaxBodyBytes:      entryserver.DefaultMaxBodyBytes,
 		DrainTimeout:      entryserver.DefaultDrainTimeout,
+		ListInterval:      d.options.ListInterval,
 		HeartbeatTimeout:  entryserver.DefaultHeartbeatTimeout,
 		MaxWaiting:        entryserver.DefaultMaxWaiting,
 		Overcommit:        entryserver.DefaultOvercommit,
@@ -329,6 +336,7 @@
 		Logger:            d.options.Logger.With(zap.String("role", "sidecar"), zap.String("instance", e.Name)),
 		OriginRegion:      d.Topology.Regions[0],
 		ControlEntries:    sidecarserver.DefaultControlEntries,
+		ListInterval:      d.options.ListInterval,
 		HeartbeatInterval: sidecarserver.DefaultHeartbeatInterval,
 		DrainTimeout:      sidecarserver.DefaultDrainTimeout,
 		LeaseDuration:     sidecarserver.DefaultLeaseDuration,
--- a/internal/deployer/deployment_test.go
+++ b/internal/deployer/deployment_test.go
@@ -22,8 +22,10 @@
 const (
 	testTimeout = 30 * time.Second
 	testTokens  = 6
-	testModel   = "notes"
-	testChunk   = 4 << 10
+	// testListInterval lets deployments start sooner.
+	testListInterval = 300 * time.Millisecond
+	testModel        = "notes"
+	testChunk        = 4 << 10
 )
 
 // small is a deployment of two entries, two engines and two order endpoints.
@@ -57,6 +59,7 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
+	o.ListInterval = testListInterval
 	d, err := deployer.Start(ctx, topology, o)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/deployer/network.go
+++ b/internal/deployer/network.go
@@ -91,16 +91,8 @@
 	n.mu.Lock()
 	n.cut[regionPair{from: a, to: b}] = cut
 	n.cut[regionPair{from: b, to: a}] = cut
-	var broken []*trackedConn
-	for c := range n.tracked {
-		if n.isCut(c.from, c.to) {
-			broken = append(broken, c)
-		}
-	}
 	n.mu.Unlock()
-	for _, c := range broken {
-		_ = c.Close()
-	}
+	n.dropBroken()
 }
 
 // Isolate cuts an instance off from everything, or mends that, as when its
@@ -108,6 +100,13 @@
 func (n *Network) Isolate(instance string, cut bool) {
 	n.mu.Lock()
 	n.isolated[instance] = cut
+	n.mu.Unlock()
+	n.dropBroken()
+}
+
+// dropBroken ends the connections whose way is cut.
+func (n *Network) dropBroken() {
+	n.mu.Lock()
 	var broken []*trackedConn
 	for c := range n.tracked {
 		if n.isCut(c.from, c.to) {
--- a/internal/deployer/records.go
+++ b/internal/deployer/records.go
@@ -175,7 +175,7 @@
 		if ready {
 			// The processes read the list now and then, so each has it after one
 			// more reading.
-			time.Sleep(listReading)
+			time.Sleep(d.options.ListInterval + listGrace)
 			return nil
 		}
 		time.Sleep(servingPoll)
@@ -183,5 +183,5 @@
 	return eris.Wrap(ctx.Err(), "sidecars not attached")
 }
 
-// listReading is a little more than the time between readings of the list.
-const listReading = 2200 * time.Millisecond
+// listGrace is the time that a reading of the list may take.
+const listGrace = 200 * time.Millisecond
--- a/internal/entryserver/config.go
+++ b/internal/entryserver/config.go
@@ -37,6 +37,8 @@
 	MaxBodyBytes int
 	// DrainTimeout bounds how long running requests may take after a stop.
 	DrainTimeout time.Duration
+	// ListInterval is the time between readings of the platform's list.
+	ListInterval time.Duration
 	// HeartbeatTimeout is how long a silent sidecar is kept.
 	HeartbeatTimeout time.Duration
 	// MaxWaiting bounds the waiting requests of one workspace and service.
@@ -74,7 +76,7 @@
 // DefaultRetries returns the retry policy.
 func DefaultRetries() retrier.Config {
 	return retrier.Config{
-		Ratio:          0.2,
+		Ratio:          0.15,
 		FloorPerSecond: 2,
 		Window:         10 * time.Second,
 		MaxAttempts:    4,
--- a/internal/entryserver/control.go
+++ b/internal/entryserver/control.go
@@ -89,7 +89,7 @@
 	var told []*messenger.VersionCount
 	toldAt := time.Now()
 	for {
-		changed := s.changed.wait()
+		changed := s.changed.Wait()
 		v := s.board.View()
 		if v.kept.Ready && v.kept.State.Through() > through {
 			u := v.kept.Update(through)
--- a/internal/entryserver/server.go
+++ b/internal/entryserver/server.go
@@ -14,11 +14,13 @@
 	"go.uber.org/zap"
 	"storj.io/drpc/drpcmux"
 
+	"flamingoledge.org/flamingoledge/internal/announcer"
 	"flamingoledge.org/flamingoledge/internal/auditor"
 	"flamingoledge.org/flamingoledge/internal/connector"
 	"flamingoledge.org/flamingoledge/internal/keeper"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/internal/notifier"
 	"flamingoledge.org/flamingoledge/internal/watcher"
 	"flamingoledge.org/flamingoledge/pkg/controller"
 	"flamingoledge.org/flamingoledge/pkg/provider"
@@ -29,8 +31,6 @@
 const (
 	controlQueue     = 4096
 	tickInterval     = 250 * time.Millisecond
-	listInterval     = 2 * time.Second
-	announceTimeout  = time.Second
 	shutdownTimeout  = time.Second
 	drainPoll        = 10 * time.Millisecond
 	keepAliveTimeout = 30 * time.Second
@@ -40,17 +40,18 @@
 
 // Server is one entry.
 type Server struct {
-	cfg     Config
-	board   *controller.Board[state]
-	pool    *ants.Pool
-	conns   connector.Pool
-	gates   gates
-	windows windows
-	retries retryBudgets
-	changed broadcast
-	watcher *watcher.Watcher
-	audit   *auditor.Auditor
-	healing atomic.Bool
+	cfg       Config
+	board     *controller.Board[state]
+	pool      *ants.Pool
+	conns     connector.Pool
+	gates     gates
+	windows   windows
+	retries   retryBudgets
+	changed   notifier.Notifier
+	watcher   *watcher.Watcher
+	audit     *auditor.Auditor
+	announcer *announcer.Announcer
+	healing   atomic.Bool
 
 	draining atomic.Bool
 	inFlight atomic.Int64
@@ -66,6 +67,18 @@
 	if s.pool, err = ants.NewPool(cfg.TrafficGoroutines, ants.WithNonblocking(true)); err != nil {
 		return nil, eris.Wrap(err, "goroutine pool")
 	}
+	s.announcer = announcer.New(announcer.Config{
+		Directory: cfg.Directory,
+		Logger:    cfg.Logger,
+		Metrics:   s.metrics,
+		Interval:  cfg.ListInterval,
+		Self: provider.Instance{
+			Name: cfg.Instance, Role: provider.RoleEntry, AvailabilityZone: cfg.AvailabilityZone, Region: cfg.Region,
+			Address: cfg.Address, HTTPAddress: cfg.HTTPAddress,
+		},
+		IsLeaving: s.draining.Load,
+		Take:      func(instances []provider.Instance) { s.board.Post(instancesRead{instances: instances}) },
+	})
 	now := time.Now()
 	s.gates = gates{maxWaiting: cfg.MaxWaiting}
 	s.retries = retryBudgets{cfg: cfg.Retries, started: now}
@@ -116,7 +129,7 @@
 	wg.Go(func() { s.audit.Run(background) })
 	wg.Go(func() { s.writeSnapshots(background) })
 	wg.Go(func() { s.catchUp(background) })
-	wg.Go(func() { s.watchList(background) })
+	wg.Go(func() { s.announcer.Run(background) })
 	wg.Go(func() { failed <- connector.Serve(background, s.cfg.Control, s.cfg.ServerTLS, s.mux()) })
 	wg.Go(func() { failed <- server.Serve(s.cfg.HTTP) })
 	logger.Log(s.cfg.Logger, logger.ProcessStarted, zap.String("address", s.cfg.Address), zap.String("http_address", s.cfg.HTTPAddress))
@@ -141,9 +154,7 @@
 func (s *Server) drain() {
 	logger.Log(s.cfg.Logger, logger.ProcessDraining, zap.Int64("in_progress", s.inFlight.Load()))
 	s.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
-	defer cancel()
-	s.announce(ctx)
+	s.announcer.Leave()
 	deadline := time.Now().Add(s.cfg.DrainTimeout)
 	for s.inFlight.Load() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPoll)
@@ -171,7 +182,7 @@
 	case logLine:
 		logger.Log(s.cfg.Logger, a.event, a.fields...)
 	case configurationChanged:
-		s.changed.notify()
+		s.changed.Notify()
 	case gapFound:
 		s.heal()
 	case throughFell:
@@ -207,50 +218,6 @@
 	}
 }
 
-// watchList reads the platform's list and announces this instance.
-func (s *Server) watchList(ctx context.Context) {
-	ticker := time.NewTicker(listInterval)
-	defer ticker.Stop()
-	down := false
-	for {
-		if !s.draining.Load() {
-			s.announce(ctx)
-		}
-		instances, err := s.cfg.Directory.Instances(ctx)
-		switch {
-		case err == nil:
-			down = false
-			s.board.Post(instancesRead{instances: instances})
-		case !down && ctx.Err() == nil:
-			down = true
-			logger.Log(s.cfg.Logger, logger.ListUnavailable, zap.Error(err))
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (s *Server) announce(ctx context.Context) {
-	i := provider.Instance{
-		Name:             s.cfg.Instance,
-		Role:             provider.RoleEntry,
-		AvailabilityZone: s.cfg.AvailabilityZone,
-		Region:           s.cfg.Region,
-		Address:          s.cfg.Address,
-		HTTPAddress:      s.cfg.HTTPAddress,
-		State:            provider.InstanceLive,
-	}
-	if s.draining.Load() {
-		i.State = provider.InstanceLeaving
-	}
-	if err := s.cfg.Directory.Announce(ctx, i); err != nil {
-		s.metrics.Add("announce_failures", 1)
-	}
-}
-
 // retryBudgets holds the retry budget of each service.
 type retryBudgets struct {
 	cfg     retrier.Config
@@ -273,27 +240,3 @@
 	}
 	return b
 }
-
-// broadcast wakes all who wait for a change.
-type broadcast struct {
-	mu sync.Mutex
-	ch chan struct{}
-}
-
-func (b *broadcast) wait() <-chan struct{} {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.ch == nil {
-		b.ch = make(chan struct{})
-	}
-	return b.ch
-}
-
-func (b *broadcast) notify() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.ch != nil {
-		close(b.ch)
-	}
-	b.ch = nil
-}
--- a/internal/measurer/baselines.go
+++ b/internal/measurer/baselines.go
@@ -18,8 +18,8 @@
 func measureBaselines(ctx context.Context, cfg Config, r *Report) error {
 	sc := cfg.scaled(oneRegion(baselineInstances, true, cfg.Seed))
 	if cfg.Quick {
-		sc.weightsBytes /= quickDivisor
-		sc.window /= quickDivisor
+		sc.weightsBytes /= 2 * quickDivisor
+		sc.window /= 2 * quickDivisor
 	}
 	ours, err := distribute(ctx, cfg, sc)
 	if err != nil {
--- a/internal/measurer/config.go
+++ b/internal/measurer/config.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"flamingoledge.org/flamingoledge/internal/announcer"
 	"flamingoledge.org/flamingoledge/internal/deployer"
 	"flamingoledge.org/flamingoledge/internal/publisher"
 	"flamingoledge.org/flamingoledge/internal/sidecarserver"
@@ -292,7 +293,7 @@
 	}
 	t := spreadTopology(s.sidecars)
 	t.EntriesPerRegion = s.entriesEach
-	o := deployer.Options{Sidecar: func(c *sidecarserver.Config) { c.ControlEntries = s.streams }}
+	o := deployer.Options{ListInterval: announcer.DefaultInterval, Sidecar: func(c *sidecarserver.Config) { c.ControlEntries = s.streams }}
 	err = withRig(ctx, cfg, t, o, func(_ context.Context, rg *rig) error {
 		time.Sleep(time.Second)
 		entries, sidecars := rg.traffic()
--- a/internal/measurer/faults.go
+++ b/internal/measurer/faults.go
@@ -58,7 +58,7 @@
 func measureFaults(ctx context.Context, cfg Config, r *Report) error {
 	cs := combinations()
 	if cfg.Quick {
-		cs = [][]fault{{faultDie, faultLag}, {faultCorrupt, faultOrigin}}
+		cs = [][]fault{{faultDie, faultCorrupt}}
 	}
 	worst, unfinished, wrong := 0.0, 0, 0
 	slowest := 0.0
--- a/internal/measurer/rig.go
+++ b/internal/measurer/rig.go
@@ -24,6 +24,8 @@
 	rigChunk       = 4 << 10
 	rigTimeout     = 3 * time.Minute
 	rigConnections = 4096
+	// rigListInterval lets a rig start sooner.
+	rigListInterval = 300 * time.Millisecond
 )
 
 // rig is a deployment with a serving model on which request experiments run.
@@ -53,6 +55,9 @@
 	defer cancel()
 	t.Seed = cfg.Seed
 	o.Logger = cfg.Logger
+	if o.ListInterval == 0 {
+		o.ListInterval = rigListInterval
+	}
 	d, err := deployer.Start(ctx, t, o)
 	if err != nil {
 		return err
--- a/internal/measurer/weights.go
+++ b/internal/measurer/weights.go
@@ -25,6 +25,8 @@
 	sharedChunks = 0.80
 	// growthWindow leaves processor time for the largest size on one machine.
 	growthWindow = 16 * time.Second
+	// quickThinCopies is what a thin link carries in the window of a quick run.
+	quickThinCopies = 0.6
 	// quickDivisor divides sizes and windows alike, so that rates stay.
 	quickDivisor = 2
 )
@@ -183,6 +185,9 @@
 	worstRatio, worstCopies, worstThin, byBytes, byTime, price := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, shared := range readings {
 		sc := cfg.scaled(threeRegions(shared, cfg.Seed))
+		if cfg.Quick {
+			sc.regionRate = sc.perWindow(quickThinCopies)
+		}
 		d, err := distribute(ctx, cfg, sc)
 		if err != nil {
 			return err
--- a/internal/sidecarserver/attach.go
+++ b/internal/sidecarserver/attach.go
@@ -120,7 +120,7 @@
 	ticker := time.NewTicker(s.cfg.HeartbeatInterval)
 	defer ticker.Stop()
 	for {
-		news := s.changed.wait()
+		news := s.changed.Wait()
 		h := s.heartbeat()
 		if isOnlyLoad(full, h) {
 			h = &messenger.Heartbeat{Brief: true, ThroughOffset: h.GetThroughOffset(), Load: h.GetLoad()}
--- a/internal/sidecarserver/claims.go
+++ b/internal/sidecarserver/claims.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	// claimBatchWindow is how long entries are gathered for one append.
+	// claimBatchWindow is how long entries are gathered for one append at least.
 	claimBatchWindow = 2 * time.Millisecond
+	// claimAppendsPerSecond is what all sidecars of a service together append.
+	claimAppendsPerSecond = 200
 	// maxClaimBatch bounds the entries of one append.
 	maxClaimBatch = 256
 	// claimQueue bounds the entries that wait to be appended.
@@ -38,6 +40,8 @@
 	log    provider.Log
 	logger *zap.Logger
 	queue  chan claimer.Entry
+	// claimants returns how many sidecars share the stream.
+	claimants func() int
 	// down is true while the log does not answer.
 	down atomic.Bool
 
@@ -56,6 +60,7 @@
 		log:       log,
 		logger:    l,
 		queue:     make(chan claimer.Entry, claimQueue),
+		claimants: func() int { return 1 },
 		ledger:    claimer.New(cfg),
 		grown:     make(chan struct{}),
 		abandoned: map[string]time.Time{},
@@ -130,13 +135,17 @@
 }
 
 // appendBatches appends what is queued. A batch whose answer is lost is appended
-// again: a second copy of an entry changes nothing.
+// again: a second copy of an entry changes nothing. Appends keep a distance that
+// grows with the claimants, so that all together stay within their share of the
+// log; the first one after a pause goes at once.
 func (c *claims) appendBatches(ctx context.Context) {
+	var last time.Time
 	for {
-		batch, ok := c.gather(ctx)
+		batch, ok := c.gather(ctx, last)
 		if !ok {
 			return
 		}
+		last = time.Now()
 		for ctx.Err() == nil {
 			_, err := c.log.Append(ctx, c.stream, batch...)
 			c.down.Store(err != nil)
@@ -148,7 +157,9 @@
 	}
 }
 
-func (c *claims) gather(ctx context.Context) (batch []json.RawMessage, ok bool) {
+// gather waits for an entry and then for others that come until the next append
+// is due, last being the time of the one before.
+func (c *claims) gather(ctx context.Context, last time.Time) (batch []json.RawMessage, ok bool) {
 	add := func(e claimer.Entry) {
 		if data, err := e.Encode(); err == nil {
 			batch = append(batch, data)
@@ -160,7 +171,8 @@
 	case e := <-c.queue:
 		add(e)
 	}
-	timer := time.NewTimer(claimBatchWindow)
+	distance := time.Second * time.Duration(c.claimants()) / claimAppendsPerSecond
+	timer := time.NewTimer(max(distance-time.Since(last), claimBatchWindow))
 	defer timer.Stop()
 	for len(batch) < maxClaimBatch {
 		select {
--- a/internal/sidecarserver/config.go
+++ b/internal/sidecarserver/config.go
@@ -39,6 +39,8 @@
 	OriginRegion string
 	// ControlEntries is to how many entries control streams are held.
 	ControlEntries int
+	// ListInterval is the time between readings of the platform's list.
+	ListInterval time.Duration
 	// HeartbeatInterval is the time between heartbeats without news.
 	HeartbeatInterval time.Duration
 	// DrainTimeout bounds how long running requests may take after a stop.
--- a/internal/sidecarserver/fetch.go
+++ b/internal/sidecarserver/fetch.go
@@ -92,7 +92,7 @@
 	f.ready = true
 	f.transfer = nil
 	f.mu.Unlock()
-	f.server.changed.notify()
+	f.server.changed.Notify()
 	return nil
 }
 
--- a/internal/sidecarserver/rollout.go
+++ b/internal/sidecarserver/rollout.go
@@ -56,7 +56,7 @@
 	ticker := time.NewTicker(reconcileInterval)
 	defer ticker.Stop()
 	for {
-		news := r.server.changed.wait()
+		news := r.server.changed.Wait()
 		r.reconcile(ctx)
 		select {
 		case <-ctx.Done():
--- a/internal/sidecarserver/server.go
+++ b/internal/sidecarserver/server.go
@@ -14,11 +14,13 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
+	"flamingoledge.org/flamingoledge/internal/announcer"
 	"flamingoledge.org/flamingoledge/internal/auditor"
 	"flamingoledge.org/flamingoledge/internal/connector"
 	"flamingoledge.org/flamingoledge/internal/keeper"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/internal/notifier"
 	"flamingoledge.org/flamingoledge/internal/transferrer"
 	"flamingoledge.org/flamingoledge/internal/watcher"
 	"flamingoledge.org/flamingoledge/pkg/claimer"
@@ -30,12 +32,10 @@
 )
 
 const (
-	controlQueue    = 1024
-	tickInterval    = 500 * time.Millisecond
-	listInterval    = 2 * time.Second
-	probeInterval   = 300 * time.Millisecond
-	announceTimeout = time.Second
-	drainPoll       = 10 * time.Millisecond
+	controlQueue  = 1024
+	tickInterval  = 500 * time.Millisecond
+	probeInterval = 300 * time.Millisecond
+	drainPoll     = 10 * time.Millisecond
 	// leaveNotice is how long a leaving sidecar gives its entries to hear of it.
 	leaveNotice = 50 * time.Millisecond
 	// auditInterval is the time between appends of audit entries. A sidecar has
@@ -55,10 +55,11 @@
 	executions  *executions
 	lease       *leaseHolder
 	rollout     *rollout
-	changed     signals
+	changed     notifier.Notifier
 	up, down    *pacer.Pacer
 	watcher     *watcher.Watcher
 	audit       *auditor.Auditor
+	announcer   *announcer.Announcer
 	deaths      *deaths
 	handlers    atomic.Int64
 	metrics     *expvar.Map
@@ -82,12 +83,25 @@
 	}
 	lease := fencer.Config{Endpoint: cfg.Instance, Incarnation: s.incarnation, Duration: cfg.LeaseDuration}
 	s.lease = newLeaseHolder(lease, cfg.Log, cfg.Logger, s.superseded)
+	s.claims.claimants = s.countClaimants
 	s.rollout = newRollout(s)
 	s.watcher = watcher.New(cfg.Log, cfg.Logger)
 	s.deaths = newDeaths(s)
 	s.audit = auditor.New(auditor.Config{
 		Log: cfg.Log, Logger: cfg.Logger, Instance: cfg.Instance, Interval: func() time.Duration { return auditInterval },
 	})
+	s.announcer = announcer.New(announcer.Config{
+		Directory: cfg.Directory,
+		Logger:    cfg.Logger,
+		Metrics:   s.metrics,
+		Interval:  cfg.ListInterval,
+		Self: provider.Instance{
+			Name: cfg.Instance, Role: provider.RoleSidecar, AvailabilityZone: cfg.AvailabilityZone, Region: cfg.Region,
+			Service: cfg.Service, Address: cfg.Address,
+		},
+		IsLeaving: func() bool { return !s.guard.isOpen() },
+		Take:      func(instances []provider.Instance) { s.board.Post(instancesRead{instances: instances}) },
+	})
 	s.board = controller.New(controller.Config[state]{
 		Initial: state{kept: keeper.New(cfg.NewestSchema)},
 		Controllers: []controller.Controller[state]{
@@ -132,7 +146,7 @@
 	wg.Go(func() { s.probe(background) })
 	wg.Go(func() { s.rollout.run(background) })
 	wg.Go(func() { s.attach(background) })
-	wg.Go(func() { s.watchList(background) })
+	wg.Go(func() { s.announcer.Run(background) })
 	wg.Go(func() { failed <- connector.Serve(background, s.cfg.Listener, s.cfg.ServerTLS, s.mux()) })
 	logger.Log(s.cfg.Logger, logger.ProcessStarted, zap.String("address", s.cfg.Address), zap.String("incarnation", s.incarnation))
 	var err error
@@ -177,10 +191,8 @@
 func (s *Server) drain() {
 	logger.Log(s.cfg.Logger, logger.ProcessDraining, zap.Int64("in_progress", s.handlers.Load()))
 	s.guard.leave()
-	s.changed.notify()
-	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
-	defer cancel()
-	s.announce(ctx)
+	s.changed.Notify()
+	s.announcer.Leave()
 	time.Sleep(leaveNotice)
 	deadline := time.Now().Add(s.cfg.DrainTimeout)
 	for time.Now().Before(deadline) {
@@ -195,7 +207,7 @@
 // attempts end here; what runs is finished.
 func (s *Server) superseded() {
 	s.guard.supersede()
-	s.changed.notify()
+	s.changed.Notify()
 }
 
 // perform starts the controllers' actions; it runs on the control goroutine.
@@ -204,7 +216,7 @@
 	case logLine:
 		logger.Log(s.cfg.Logger, a.event, a.fields...)
 	case changed:
-		s.changed.notify()
+		s.changed.Notify()
 	case throughFell:
 		logger.Log(s.cfg.Logger, logger.ThroughOffsetFell, zap.Uint64("from", a.from), zap.Uint64("to", a.to))
 	}
@@ -227,48 +239,14 @@
 	}
 }
 
-// watchList reads the platform's list and announces this instance.
-func (s *Server) watchList(ctx context.Context) {
-	ticker := time.NewTicker(listInterval)
-	defer ticker.Stop()
-	down := false
-	for {
-		if s.guard.isOpen() {
-			s.announce(ctx)
-		}
-		instances, err := s.cfg.Directory.Instances(ctx)
-		switch {
-		case err == nil:
-			down = false
-			s.board.Post(instancesRead{instances: instances})
-		case !down && ctx.Err() == nil:
-			down = true
-			logger.Log(s.cfg.Logger, logger.ListUnavailable, zap.Error(err))
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+// countClaimants counts the live sidecars beside the same service.
+func (s *Server) countClaimants() (n int) {
+	for _, i := range s.board.View().instances {
+		if i.Role == provider.RoleSidecar && i.Service == s.cfg.Service && i.State == provider.InstanceLive {
+			n++
 		}
 	}
-}
-
-func (s *Server) announce(ctx context.Context) {
-	i := provider.Instance{
-		Name:             s.cfg.Instance,
-		Role:             provider.RoleSidecar,
-		AvailabilityZone: s.cfg.AvailabilityZone,
-		Region:           s.cfg.Region,
-		Service:          s.cfg.Service,
-		Address:          s.cfg.Address,
-		State:            provider.InstanceLive,
-	}
-	if !s.guard.isOpen() {
-		i.State = provider.InstanceLeaving
-	}
-	if err := s.cfg.Directory.Announce(ctx, i); err != nil {
-		s.metrics.Add("announce_failures", 1)
-	}
+	return max(n, 1)
 }
 
 // dialInstance opens a connection to another sidecar by its name.
@@ -290,27 +268,3 @@
 func (e *UnknownInstanceError) Error() string {
 	return "instance " + e.Instance + " is not in the platform's list"
 }
-
-// signals wakes any number of waiters.
-type signals struct {
-	mu sync.Mutex
-	ch chan struct{}
-}
-
-func (s *signals) wait() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.ch == nil {
-		s.ch = make(chan struct{})
-	}
-	return s.ch
-}
-
-func (s *signals) notify() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.ch != nil {
-		close(s.ch)
-	}
-	s.ch = nil
-}
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -116,17 +116,12 @@
 
 // Apply folds a page of the deaths stream. A gap loses old suspicions only.
 func (l *Ledger) Apply(now time.Time, page provider.Page) {
-	l.next = max(l.next, page.FirstRetained)
-	for _, r := range page.Records {
-		if r.Offset < l.next {
-			continue
-		}
-		l.next = r.Offset + 1
+	l.next = page.Fold(l.next, func(r provider.Record) {
 		var e Entry
 		if json.Unmarshal(r.Data, &e) == nil {
 			l.fold(r, e)
 		}
-	}
+	})
 	l.expire(now)
 }
 
