Place replicas by demand, with hysteresis, and let unwanted versions linger

Cause: every model had its maximum of replicas at all times, so a record's minimum meant nothing, and an endpoint without any wanted model kept what it had for ever. Change: entries tell their demand for each model; sidecars work out the replicas from it, more at once and fewer one by one after a stay; what is not wanted is unloaded after five seconds, also when nothing is wanted. Test: a burst of 24 callers takes one replica to three, loses no request, and ends at one again. Conclusion: records decide both ends, demand what lies between.

--- a/cmd/flamingoledge/cmds/roles.go
+++ b/cmd/flamingoledge/cmds/roles.go
@@ -216,6 +216,7 @@
 		LeaseDuration:     millis(set.LeaseMillis),
 		ClaimWindow:       millis(set.ClaimWindowMillis),
 		ClockSkew:         millis(set.ClockSkewMillis),
+		ReplicaStay:       sidecarserver.DefaultReplicaStay,
 		TrafficGoroutines: set.TrafficGoroutines,
 		NewestSchema:      interpreter.SchemaNewest,
 		Transfer:          transfer,
--- a/internal/deployer/deployment.go
+++ b/internal/deployer/deployment.go
@@ -342,6 +342,7 @@
 		LeaseDuration:     sidecarserver.DefaultLeaseDuration,
 		ClaimWindow:       sidecarserver.DefaultClaimWindow,
 		ClockSkew:         sidecarserver.DefaultClockSkew,
+		ReplicaStay:       sidecarserver.DefaultReplicaStay,
 		TrafficGoroutines: sidecarserver.DefaultTrafficGoroutines,
 		NewestSchema:      interpreter.SchemaNewest,
 		Transfer:          sidecarserver.DefaultTransfer(),
--- a/internal/deployer/safety_test.go
+++ b/internal/deployer/safety_test.go
@@ -11,6 +11,7 @@
 	"flamingoledge.org/flamingoledge/internal/deployer"
 	"flamingoledge.org/flamingoledge/internal/emulator"
 	"flamingoledge.org/flamingoledge/internal/entryserver"
+	"flamingoledge.org/flamingoledge/internal/sidecarserver"
 	"flamingoledge.org/flamingoledge/pkg/chunker"
 	"flamingoledge.org/flamingoledge/pkg/interpreter"
 )
@@ -218,3 +219,25 @@
 	is.Equal(asking.lost, 0)
 	is.Equal(foreign, nil)
 }
+
+// A burst of requests gets more replicas, and after it they go again.
+func TestBurstGetsReplicas(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	topology := small()
+	topology.Services[0].Endpoints = 3
+	topology.Services[0].TokenInterval = 20 * time.Millisecond
+	s := start(t, topology, deployer.Options{Sidecar: func(c *sidecarserver.Config) { c.ReplicaStay = 500 * time.Millisecond }})
+	_, err := s.Publish(s.ctx, interpreter.KindModel+":"+testModel, interpreter.Model{
+		Service: "engine", VersionDigest: s.digest, Prefer: interpreter.PreferTime, MinReplicas: 1, MaxReplicas: 3, OriginCopies: 1,
+	})
+	is.NoErr(err)
+	eventually(t, "one replica is enough", func() bool { return s.Serving(s.digest) == 1 })
+	asking := startAsking(s, 24)
+	eventually(t, "the burst has three replicas", func() bool { return s.Serving(s.digest) == 3 })
+	answered, foreign := asking.finish()
+	is.True(answered > 0)
+	is.Equal(asking.lost, 0)
+	is.Equal(foreign, nil)
+	eventually(t, "one replica is enough again", func() bool { return s.Serving(s.digest) == 1 })
+}
--- a/internal/entryserver/control.go
+++ b/internal/entryserver/control.go
@@ -11,13 +11,18 @@
 )
 
 // updateInterval is how often it is looked whether the counts of serving sidecars
-// have changed.
+// or the demand have changed.
 const updateInterval = time.Second
 
 // aliveInterval is how often a control stream without any news shows that the
 // entry is alive.
 const aliveInterval = 4 * time.Second
 
+// isSameNews tells whether two updates carry the same counts.
+func isSameNews(a, b *messenger.Update) bool {
+	return slices.EqualFunc(a.GetServing(), b.GetServing(), sameCount) && slices.EqualFunc(a.GetDemand(), b.GetDemand(), sameDemand)
+}
+
 func sameCount(a, b *messenger.VersionCount) bool {
 	return a.GetVersionDigest() == b.GetVersionDigest() && a.GetSidecars() == b.GetSidecars()
 }
@@ -86,7 +91,7 @@
 	ticker := time.NewTicker(updateInterval)
 	defer ticker.Stop()
 	var through uint64
-	var told []*messenger.VersionCount
+	var told *messenger.Update
 	toldAt := time.Now()
 	for {
 		changed := s.changed.Wait()
@@ -107,12 +112,12 @@
 			through = h
 		case <-changed:
 		case <-ticker.C:
-			counts := servingCounts(s.board.View())
-			if slices.EqualFunc(counts, told, sameCount) && time.Since(toldAt) < aliveInterval {
+			u := &messenger.Update{Entry: s.cfg.Instance, Serving: servingCounts(s.board.View()), Demand: s.demand.list()}
+			if isSameNews(u, told) && time.Since(toldAt) < aliveInterval {
 				continue
 			}
-			told, toldAt = counts, time.Now()
-			if err := stream.Send(&messenger.Update{Serving: counts}); err != nil {
+			told, toldAt = u, time.Now()
+			if err := stream.Send(u); err != nil {
 				return err
 			}
 		}
--- a/internal/entryserver/handler.go
+++ b/internal/entryserver/handler.go
@@ -69,7 +69,10 @@
 	}
 	c, p := s.parse(ctx, now)
 	if p == nil {
-		p = s.admit(c)
+		s.demand.add(c.target.Model, 1)
+		if p = s.admit(c); p != nil {
+			s.demand.add(c.target.Model, -1)
+		}
 	}
 	if p != nil {
 		s.refuse(ctx, c, p)
@@ -113,6 +116,7 @@
 
 func (s *Server) leave(c *call) {
 	now := time.Now()
+	s.demand.add(c.target.Model, -1)
 	s.gates.of(c.service).leave(now, s.limit(c.service), c.workspace, now.Sub(c.admitted))
 }
 
--- a/internal/entryserver/server.go
+++ b/internal/entryserver/server.go
@@ -46,6 +46,7 @@
 	conns     connector.Pool
 	gates     gates
 	windows   windows
+	demand    demand
 	retries   retryBudgets
 	changed   notifier.Notifier
 	watcher   *watcher.Watcher
--- a/internal/sidecarserver/claims.go
+++ b/internal/sidecarserver/claims.go
@@ -37,6 +37,7 @@
 // claims follows the claims stream and appends to it in batches.
 type claims struct {
 	stream string
+	window time.Duration
 	log    provider.Log
 	logger *zap.Logger
 	queue  chan claimer.Entry
@@ -57,6 +58,7 @@
 func newClaims(cfg claimer.Config, service string, log provider.Log, l *zap.Logger) *claims {
 	return &claims{
 		stream:    provider.ClaimsStream(service),
+		window:    cfg.Window,
 		log:       log,
 		logger:    l,
 		queue:     make(chan claimer.Entry, claimQueue),
@@ -119,7 +121,7 @@
 		c.enqueue(e)
 	}
 	for id, at := range c.abandoned {
-		if now.Sub(at) > DefaultClaimWindow {
+		if now.Sub(at) > c.window {
 			delete(c.abandoned, id)
 		}
 	}
--- a/internal/sidecarserver/config.go
+++ b/internal/sidecarserver/config.go
@@ -52,6 +52,9 @@
 	ClaimWindow time.Duration
 	// ClockSkew is how far the clocks of instances and callers may differ.
 	ClockSkew time.Duration
+	// ReplicaStay is how long fewer replicas of a model must suffice before one
+	// is taken away.
+	ReplicaStay time.Duration
 	// TrafficGoroutines bounds the goroutines for origin reads and the like.
 	TrafficGoroutines int
 	// NewestSchema is the newest schema version of record bodies to read.
@@ -86,6 +89,7 @@
 	DefaultClaimWindow       = 10 * time.Minute
 	DefaultClockSkew         = 5 * time.Second
 	DefaultTrafficGoroutines = 256
+	DefaultReplicaStay       = 2 * time.Minute
 )
 
 const (
--- a/internal/sidecarserver/rollout.go
+++ b/internal/sidecarserver/rollout.go
@@ -21,9 +21,8 @@
 	// confirmationsWanted is how often in a row the endpoint must report the
 	// intended digest before it gets traffic.
 	confirmationsWanted = 2
-	// previousLinger is how long the previous version stays beside the new one,
-	// so that entries have switched before it goes.
-	previousLinger = 5 * time.Second
+	// unwantedLinger is how long a version stays that is no longer wanted.
+	unwantedLinger = 5 * time.Second
 )
 
 // rollout brings the endpoint to what the placement asks for. Its reconcile loop
@@ -35,7 +34,9 @@
 	fetches map[string]*fetch
 	// confirmations counts matching reports by version; only the loop uses it.
 	confirmations map[string]int
-	servingSince  map[string]time.Time
+	// unwantedSince is since when a loaded version is not wanted; only the loop
+	// uses it.
+	unwantedSince map[string]time.Time
 
 	mu sync.Mutex
 	// weights are the digests that an endpoint must report, by version.
@@ -47,7 +48,7 @@
 		server:        s,
 		fetches:       map[string]*fetch{},
 		confirmations: map[string]int{},
-		servingSince:  map[string]time.Time{},
+		unwantedSince: map[string]time.Time{},
 		weights:       map[string]string{},
 	}
 }
@@ -168,7 +169,6 @@
 		return
 	}
 	r.server.guard.allow(d.versionDigest)
-	r.servingSince[d.versionDigest] = time.Now()
 	logger.Log(r.server.cfg.Logger, logger.VersionServing,
 		zap.String("model", d.model), zap.String("version_digest", d.versionDigest),
 		zap.String("weights_digest", loaded.WeightsDigest), zap.Uint64("record_offset", d.recordOffset))
@@ -268,26 +268,44 @@
 	}
 }
 
-// unloadUnwanted drops what the endpoint holds and no record in force asks for.
+// unloadUnwanted drops what the endpoint holds and no record in force asks for. It
+// lingers, so that entries have switched to the new version before the previous
+// one goes, and a list that flickers moves nothing.
 func (r *rollout) unloadUnwanted(ctx context.Context, v *state) {
-	keep := map[string]struct{}{}
-	for _, d := range v.desired {
-		keep[d.versionDigest] = struct{}{}
-		since, ok := r.servingSince[d.versionDigest]
-		if !ok || !r.server.guard.isAllowed(d.versionDigest) || time.Since(since) < previousLinger {
-			keep[d.previous] = struct{}{}
-		}
-	}
-	if len(v.desired) == 0 || !v.reachable {
+	if !v.placed || !v.reachable {
 		return
 	}
+	now := time.Now()
+	keep := r.wantedOrNeeded(v)
 	for _, l := range v.endpoint.Loaded {
-		if _, ok := keep[l.VersionDigest]; !ok {
+		if _, ok := keep[l.VersionDigest]; ok {
+			delete(r.unwantedSince, l.VersionDigest)
+			continue
+		}
+		since, ok := r.unwantedSince[l.VersionDigest]
+		if !ok {
+			r.unwantedSince[l.VersionDigest] = now
+			continue
+		}
+		if now.Sub(since) >= unwantedLinger {
 			r.unload(ctx, l.VersionDigest, "no record in force asks for it")
 		}
 	}
 }
 
+// wantedOrNeeded returns the versions that are intended here, and the previous
+// ones for as long as those that follow them do not serve.
+func (r *rollout) wantedOrNeeded(v *state) map[string]struct{} {
+	keep := map[string]struct{}{}
+	for _, d := range v.desired {
+		keep[d.versionDigest] = struct{}{}
+		if !r.server.guard.isAllowed(d.versionDigest) {
+			keep[d.previous] = struct{}{}
+		}
+	}
+	return keep
+}
+
 // report tells the control state how far a version is.
 func (r *rollout) report(d desiredVersion, f *fetch, serving bool) {
 	held, total := f.progress()
--- a/internal/sidecarserver/run.go
+++ b/internal/sidecarserver/run.go
@@ -49,7 +49,7 @@
 	s.up.Request(now)
 	s.down.Request(now)
 	if reason := s.precheck(now, req); reason != "" {
-		return s.replyNotRun(stream, reason, false)
+		return s.replyNotRun(stream, reason)
 	}
 	if req.GetIdempotencyKey() != "" {
 		return s.runOnce(now, req, stream)
@@ -68,14 +68,9 @@
 }
 
 // replyNotRun is the final word on an attempt that never reached the endpoint.
-// blame tells the entry that the endpoint is at fault.
-func (s *Server) replyNotRun(stream messenger.DRPCExecution_RunStream, reason string, blame bool) error {
+func (s *Server) replyNotRun(stream messenger.DRPCExecution_RunStream, reason string) error {
 	s.metrics.Add("not_run", 1)
-	reply := &messenger.RunReply{Outcome: messenger.Outcome_OUTCOME_NOT_RUN, Reason: reason, Load: s.loadWithout(0)}
-	if blame {
-		reply.Status = 1
-	}
-	return stream.Send(reply)
+	return stream.Send(&messenger.RunReply{Outcome: messenger.Outcome_OUTCOME_NOT_RUN, Reason: reason, Load: s.loadWithout(0)})
 }
 
 func (s *Server) request(req *messenger.RunRequest) endpointclient.Request {
@@ -103,7 +98,7 @@
 	defer cancel()
 	reason, exit := s.enter(ctx, req)
 	if reason != "" {
-		return s.replyNotRun(stream, reason, false)
+		return s.replyNotRun(stream, reason)
 	}
 	defer exit()
 	reply := &messenger.RunReply{Outcome: messenger.Outcome_OUTCOME_STARTED}
@@ -223,7 +218,7 @@
 	entry := s.claimEntry(req)
 	x, created := s.executions.join(now, entry.Key, entry.BodyDigest)
 	if x.bodyDigest != entry.BodyDigest {
-		return s.replyNotRun(stream, refuser.ReasonKeyReused, false)
+		return s.replyNotRun(stream, refuser.ReasonKeyReused)
 	}
 	if created {
 		// The run goes on when the entry is gone: its answer is kept for the
@@ -238,7 +233,7 @@
 	case <-timer.C:
 	}
 	if x.giveUp() {
-		return s.replyNotRun(stream, refuser.ReasonExpired, false)
+		return s.replyNotRun(stream, refuser.ReasonExpired)
 	}
 	return stream.Send(&messenger.RunReply{Outcome: messenger.Outcome_OUTCOME_UNKNOWN, Reason: "still in progress at the deadline"})
 }
--- a/internal/sidecarserver/state.go
+++ b/internal/sidecarserver/state.go
@@ -1,9 +1,7 @@
 package sidecarserver
 
 import (
-	"cmp"
 	"maps"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,7 +11,6 @@
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
 	"flamingoledge.org/flamingoledge/pkg/controller"
-	"flamingoledge.org/flamingoledge/pkg/interpreter"
 	"flamingoledge.org/flamingoledge/pkg/placer"
 	"flamingoledge.org/flamingoledge/pkg/planner"
 	"flamingoledge.org/flamingoledge/pkg/provider"
@@ -28,10 +25,16 @@
 	reachable bool
 	// desired is what the endpoint is to serve, by model.
 	desired map[string]desiredVersion
+	// placed is true once desired was worked out.
+	placed bool
 	// held is how far each version is here, by version digest.
 	held map[string]heldVersion
 	// serving counts the sidecars that serve each version, as entries tell.
 	serving map[string]int
+	// demand holds the requests for each model that each entry last told of, and
+	// targets the replicas that follow from it.
+	demand  map[string]map[string]int
+	targets map[string]placer.Target
 }
 
 // wants tells whether a version is to be served here.
@@ -109,6 +112,9 @@
 	if len(u.update.GetServing()) > 0 {
 		s.serving = withCounts(s.serving, u.update.GetServing())
 	}
+	if u.update.GetEntry() != "" {
+		s.demand = withDemand(s.demand, u.update)
+	}
 	if u.update.GetThroughOffset() <= s.kept.State.Through() {
 		return s, nil
 	}
@@ -142,6 +148,20 @@
 	return next
 }
 
+// withDemand takes the newest counts of one entry.
+func withDemand(old map[string]map[string]int, u *messenger.Update) map[string]map[string]int {
+	next := maps.Clone(old)
+	if next == nil {
+		next = map[string]map[string]int{}
+	}
+	counts := map[string]int{}
+	for _, d := range u.GetDemand() {
+		counts[d.GetModel()] = int(d.GetRequests())
+	}
+	next[u.GetEntry()] = counts
+	return next
+}
+
 // endpointController keeps what is known about the endpoint and its versions.
 type endpointController struct{}
 
@@ -175,108 +195,3 @@
 	}
 	return s, []controller.Action{changed{}}
 }
-
-// placementController decides what the endpoint is to serve.
-type placementController struct {
-	self    planner.Member
-	service string
-}
-
-// Handle implements controller.Controller.
-func (c placementController) Handle(_ time.Time, s state, e controller.Event) (state, []controller.Action) {
-	switch e := e.(type) {
-	case instancesRead:
-		s.instances = e.instances
-	case updateReceived:
-	default:
-		return s, nil
-	}
-	if !s.kept.Ready {
-		return s, nil
-	}
-	before := s.desired
-	s.desired = c.desired(s)
-	actions := c.placementLines(before, s.desired)
-	if len(actions) > 0 || !sameMembers(before, s.desired) {
-		actions = append(actions, changed{})
-	}
-	return s, actions
-}
-
-func (c placementController) desired(s state) map[string]desiredVersion {
-	service, ok := s.kept.Config.Services[c.service]
-	if !ok {
-		return nil
-	}
-	regions := c.memberRegions(s.instances)
-	members := make([]placer.Member, 0, len(regions))
-	for _, name := range slices.Sorted(maps.Keys(regions)) {
-		members = append(members, placer.Member{Instance: name, Slots: service.Body.ModelsPerEndpoint})
-	}
-	var models []placer.Model
-	for name, m := range s.kept.Config.Models {
-		if m.Body.Service == c.service {
-			models = append(models, placer.Model{Name: name, MinReplicas: m.Body.MinReplicas, MaxReplicas: m.Body.MaxReplicas})
-		}
-	}
-	placement := placer.Place(models, members)
-	desired := map[string]desiredVersion{}
-	for _, name := range placement[c.self.Instance] {
-		m := s.kept.Config.Models[name]
-		d := desiredVersion{
-			model:         name,
-			versionDigest: m.Body.VersionDigest,
-			previous:      m.Body.PreviousVersionDigest,
-			recordOffset:  m.Offset,
-			originCopies:  m.Body.OriginCopies,
-			preferTime:    m.Body.Prefer == interpreter.PreferTime,
-			role:          m.Body.Role,
-			adapters:      m.Body.Adapters,
-		}
-		d.rank, _ = placer.Rank(placement, name, c.self.Instance)
-		for instance, placed := range placement {
-			if slices.Contains(placed, name) {
-				d.members = append(d.members, planner.Member{Instance: instance, Region: regions[instance]})
-			}
-		}
-		slices.SortFunc(d.members, func(a, b planner.Member) int { return cmp.Compare(a.Instance, b.Instance) })
-		desired[name] = d
-	}
-	return desired
-}
-
-// memberRegions returns the regions of the sidecars beside the same service that
-// stay, and of this one.
-func (c placementController) memberRegions(instances []provider.Instance) map[string]string {
-	regions := map[string]string{c.self.Instance: c.self.Region}
-	for _, i := range instances {
-		if i.Role == provider.RoleSidecar && i.Service == c.service && i.State == provider.InstanceLive {
-			regions[i.Name] = i.Region
-		}
-	}
-	return regions
-}
-
-func (c placementController) placementLines(before, after map[string]desiredVersion) []controller.Action {
-	var actions []controller.Action
-	for _, name := range slices.Sorted(maps.Keys(after)) {
-		d := after[name]
-		if before[name].versionDigest == d.versionDigest && before[name].recordOffset == d.recordOffset {
-			continue
-		}
-		actions = append(actions, line(logger.PlacementDecided,
-			zap.String("model", name), zap.Bool("serve", true), zap.String("version_digest", d.versionDigest),
-			zap.Uint64("record_offset", d.recordOffset), zap.Int("rank", d.rank), zap.Int("replicas", len(d.members))))
-	}
-	for _, name := range slices.Sorted(maps.Keys(before)) {
-		if _, ok := after[name]; !ok {
-			actions = append(actions, line(logger.PlacementDecided,
-				zap.String("model", name), zap.Bool("serve", false), zap.Uint64("record_offset", before[name].recordOffset)))
-		}
-	}
-	return actions
-}
-
-func sameMembers(a, b map[string]desiredVersion) bool {
-	return maps.EqualFunc(a, b, func(x, y desiredVersion) bool { return slices.Equal(x.members, y.members) })
-}
--- a/pkg/admitter/admitter_test.go
+++ b/pkg/admitter/admitter_test.go
@@ -131,6 +131,8 @@
 					running = append(running, id)
 				case admitter.VerdictQueued:
 					state[id] = "queued"
+				default:
+					state[id] = "refused"
 				}
 			case 2:
 				if len(running) > 0 {
--- a/pkg/claimer/example_test.go
+++ b/pkg/claimer/example_test.go
@@ -1,7 +1,6 @@
 package claimer_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -19,7 +18,7 @@
 		if err != nil {
 			return
 		}
-		records = append(records, provider.Record{Offset: uint64(i + 1), AppendedAt: now, Data: json.RawMessage(data)})
+		records = append(records, provider.Record{Offset: uint64(i + 1), AppendedAt: now, Data: data})
 	}
 	l := claimer.New(claimer.Config{Window: time.Minute, ClockSkew: time.Second})
 	l.Apply(now, provider.Page{FirstRetained: 1, Next: 3, Records: records})
--- /dev/null
+++ b/pkg/placer/target.go
@@ -0,0 +1,50 @@
+package placer
+
+import (
+	"math"
+	"time"
+)
+
+// TargetConfig configures how demand becomes a number of replicas.
+type TargetConfig struct {
+	// PerReplica is how many requests one replica has in progress at a time.
+	PerReplica int
+	// Utilization is the share of it that is planned with, so that a burst finds
+	// room until more replicas serve.
+	Utilization float64
+	// Stay is how long fewer replicas must suffice before one is taken away.
+	Stay time.Duration
+	// Smoothing is the share of a new count in the demand.
+	Smoothing float64
+}
+
+// Target is the number of replicas that the demand asks for. It is immutable; the
+// zero value has seen no demand.
+type Target struct {
+	demand   float64
+	replicas int
+	// enoughSince is since when fewer replicas would have been enough.
+	enoughSince time.Time
+}
+
+// Replicas returns the number of replicas within the record's limits.
+func (t Target) Replicas(low, high int) int { return min(max(t.replicas, low, 1), high) }
+
+// WithCount returns the target after a count of the requests in progress. More
+// replicas are asked for at once; hysteresis keeps a lull from taking them away,
+// which goes one by one.
+func (t Target) WithCount(cfg TargetConfig, now time.Time, inProgress float64) Target {
+	t.demand += cfg.Smoothing * (inProgress - t.demand)
+	wanted := int(math.Ceil(t.demand / (cfg.Utilization * float64(max(cfg.PerReplica, 1)))))
+	switch {
+	case wanted >= t.replicas:
+		t.replicas = wanted
+		t.enoughSince = time.Time{}
+	case t.enoughSince.IsZero():
+		t.enoughSince = now
+	case now.Sub(t.enoughSince) >= cfg.Stay:
+		t.replicas--
+		t.enoughSince = now
+	}
+	return t
+}
