Spread fresh chunks in turns, and leave requests more of the link

Change: members ask for a chunk in the order of their ranks, three for each copy that they know of, and wait for a turn a quarter of the chunk timeout at most; transfers take 70% of a link while requests run.

--- a/internal/sidecarserver/config.go
+++ b/internal/sidecarserver/config.go
@@ -95,7 +95,7 @@
 const (
 	// busyShare is the transfers' share of a link while requests run. The rest
 	// lets requests pass without a queue.
-	busyShare = 0.8
+	busyShare = 0.7
 	// busyFor is how long after the last request a link counts as busy.
 	busyFor = 500 * time.Millisecond
 	// windowsInTimeout is how many whole windows of chunks a link must be given
--- a/pkg/planner/next.go
+++ b/pkg/planner/next.go
@@ -79,7 +79,7 @@
 		})
 		var found bool
 		for k, n := range names {
-			i, ok := p.rarest(p.peers[n].held)
+			i, ok := p.rarest(now, p.peers[n].held)
 			if !ok {
 				continue
 			}
@@ -119,15 +119,18 @@
 	return pr.inFlight < p.cfg.PeerWindow && pr.strikes < maxStrikes && !now.Before(pr.slowTill)
 }
 
-// rarest returns the chunk among those offered, neither held nor in flight, that
-// the fewest peers hold. Ties are broken at random.
-func (p *Planner) rarest(offered chunker.IndexSet) (best int, ok bool) {
+// rarest returns the chunk among those offered, neither held nor in flight, whose
+// turn it is and that the fewest peers hold. Ties are broken at random.
+func (p *Planner) rarest(now time.Time, offered chunker.IndexSet) (best int, ok bool) {
 	ties := 0
 	for b := range offered {
 		wanted := offered[b] &^ p.held[b] &^ p.busy[b]
 		for wanted != 0 {
 			i := b*bitsPerByte + bits.TrailingZeros8(wanted)
 			wanted &= wanted - 1
+			if !p.isTurn(now, i) {
+				continue
+			}
 			switch {
 			case !ok || p.copies[i] < p.copies[best]:
 				best, ok, ties = i, true, 1
--- a/pkg/planner/path.go
+++ b/pkg/planner/path.go
@@ -16,6 +16,8 @@
 type path struct {
 	// rank is the own place among the region's instances for the chunk.
 	rank int
+	// order is the own place among all of them.
+	order int
 	// upstreams are the instances of other regions to fetch it from, in order
 	// of preference; empty in the origin's region.
 	upstreams []string
@@ -131,7 +133,11 @@
 
 func (p *Planner) pathOf(i int) path {
 	region := p.cfg.Self.Region
-	pt := path{rank: p.rankIn(i, region)}
+	pt := path{order: p.orderIn(i, region)}
+	pt.rank = pt.order
+	if pt.rank >= p.cfg.OriginRanks {
+		pt.rank = notRanked
+	}
 	if pt.rank == notRanked || region == p.cfg.OriginRegion {
 		return pt
 	}
@@ -166,20 +172,46 @@
 	return remote
 }
 
-func (p *Planner) rankIn(i int, region string) int {
+// orderIn returns the own place among the region's members for chunk i.
+func (p *Planner) orderIn(i int, region string) int {
 	own := ranker.WeightIndexed(p.cfg.VersionDigest, i, p.cfg.Self.Instance)
-	rank := 0
+	order := 0
 	for _, m := range p.byRegion[region] {
 		if ranker.WeightIndexed(p.cfg.VersionDigest, i, m) > own {
-			rank++
+			order++
 		}
 	}
-	if rank >= p.cfg.OriginRanks {
-		return notRanked
+	return order
+}
+
+// isTurn tells whether chunk i may be asked for in the own region: those that
+// rank first for it go first, and each copy lets a few more follow, so that a
+// fresh chunk spreads as a tree and not from one queue. Nobody waits for long,
+// because a neighbour's copies are only a sample.
+func (p *Planner) isTurn(now time.Time, i int) bool {
+	if i >= len(p.paths) {
+		return true
+	}
+	copies := int(p.copies[i])
+	if n := len(p.local); n > 0 {
+		copies = copies * (len(p.byRegion[p.cfg.Self.Region]) - 1) / n
 	}
-	return rank
+	if p.paths[i].order <= fanout*copies {
+		return true
+	}
+	if p.seenAt[i].IsZero() {
+		p.seenAt[i] = now
+	}
+	return now.Sub(p.seenAt[i]) >= p.cfg.ChunkTimeout/turnShare
 }
 
+const (
+	// fanout is how many instances each copy of a chunk serves at first.
+	fanout = 3
+	// turnShare divides the chunk timeout into the longest wait for a turn.
+	turnShare = 4
+)
+
 // mayFetchOutside tells whether it is the own turn to fetch chunk i from outside
 // the region.
 func (p *Planner) mayFetchOutside(now time.Time, i int) bool {
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -145,7 +145,9 @@
 	held  chunker.IndexSet
 	count int
 	// copies counts the peers that hold each chunk.
-	copies   []uint16
+	copies []uint16
+	// seenAt is when a copy of each chunk was first seen before its turn.
+	seenAt   []time.Time
 	busy     chunker.IndexSet
 	flights  map[int]flights
 	inFlight int
@@ -170,6 +172,7 @@
 		held:         held.Clone(),
 		count:        held.Len(),
 		copies:       make([]uint16, cfg.Chunks),
+		seenAt:       make([]time.Time, cfg.Chunks),
 		busy:         chunker.NewIndexSet(cfg.Chunks),
 		flights:      map[int]flights{},
 	}
