--- /dev/null
+++ b/internal/authenticator/authenticator_test.go
@@ -0,0 +1,101 @@
+package authenticator_test
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"flamingoledge.org/flamingoledge/internal/authenticator"
+	"flamingoledge.org/flamingoledge/internal/logger"
+)
+
+// handshake tells whether two processes accept each other.
+func handshake(t *testing.T, server, client *authenticator.Authenticator) error {
+	t.Helper()
+	a, b := net.Pipe()
+	defer func() { _ = a.Close() }()
+	defer func() { _ = b.Close() }()
+	limit := time.Now().Add(500 * time.Millisecond)
+	if err := errors.Join(a.SetDeadline(limit), b.SetDeadline(limit)); err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan error, 1)
+	go func() { served <- tls.Server(a, server.Server()).Handshake() }()
+	err := tls.Client(b, client.Client()).Handshake()
+	if serverErr := <-served; serverErr != nil {
+		return serverErr
+	}
+	return err
+}
+
+func TestFilesAreReadAgainWhenTheyChange(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	old, err := authenticator.NewIssuer(t.TempDir(), now, time.Hour)
+	is.NoErr(err)
+	serverFiles, err := old.Issue("server", now, time.Hour)
+	is.NoErr(err)
+	core, logs := observer.New(zap.InfoLevel)
+	server, err := authenticator.New(serverFiles, zap.New(core), now)
+	is.NoErr(err)
+	clientFiles, err := old.Issue("client", now, time.Hour)
+	is.NoErr(err)
+	client, err := authenticator.New(clientFiles, zap.NewNop(), now)
+	is.NoErr(err)
+	is.NoErr(handshake(t, server, client))
+
+	// Another authority takes the old one's place on the server's side.
+	other, err := authenticator.NewIssuer(t.TempDir(), now, time.Hour)
+	is.NoErr(err)
+	otherFiles, err := other.Issue("other", now, time.Hour)
+	is.NoErr(err)
+	authority, err := os.ReadFile(otherFiles.Authority)
+	is.NoErr(err)
+	later := now.Add(time.Second)
+	is.NoErr(os.WriteFile(serverFiles.Authority, authority, 0o600))
+	is.NoErr(os.Chtimes(serverFiles.Authority, later, later))
+	time.Sleep(2200 * time.Millisecond) // files are looked at now and then
+	is.True(handshake(t, server, client) != nil)
+	is.Equal(logs.FilterMessage(logger.KeysRead.Name).Len(), 1)
+
+	// Files that are not good leave the ones before in use.
+	is.NoErr(os.WriteFile(serverFiles.Certificate, []byte("nonsense"), 0o600))
+	is.NoErr(os.Chtimes(serverFiles.Certificate, later.Add(time.Second), later.Add(time.Second)))
+	time.Sleep(2200 * time.Millisecond)
+	is.True(handshake(t, server, client) != nil)
+	is.Equal(logs.FilterMessage(logger.KeysRefused.Name).Len(), 1)
+}
+
+func TestCertificatesNearTheirEnd(t *testing.T) {
+	now := time.Now()
+	for name, tc := range map[string]struct {
+		valid   time.Duration
+		at      time.Duration
+		expired bool
+		warned  int
+	}{
+		"long to go": {60 * 24 * time.Hour, 0, false, 0},
+		"ends soon":  {time.Hour, 0, false, 1},
+		"has ended":  {time.Hour, 2 * time.Hour, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			issuer, err := authenticator.NewIssuer(t.TempDir(), now, tc.valid)
+			is.NoErr(err)
+			files, err := issuer.Issue("p", now, tc.valid)
+			is.NoErr(err)
+			core, logs := observer.New(zap.InfoLevel)
+			_, err = authenticator.New(files, zap.New(core), now.Add(tc.at))
+			var expiry *authenticator.ExpiryError
+			is.Equal(errors.As(err, &expiry), tc.expired)
+			is.Equal(logs.FilterMessage(logger.KeysExpire.Name).Len(), tc.warned)
+		})
+	}
+}
--- a/internal/deployer/deployment_test.go
+++ b/internal/deployer/deployment_test.go
@@ -160,6 +160,26 @@
 	is.Equal(s.KeyRuns()[key], 1)
 }
 
+// A key may protect a streamed answer too; its repetition gets the same one.
+func TestKeyedModelRequestRunsOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := start(t, small(), deployer.Options{})
+	key, body := newKey(), prompt("draft once")
+	for i := range 2 {
+		reply, err := s.caller.Do(s.ctx, caller.Request{
+			Entry: s.Entries[i].HTTPAddress, Workspace: deployer.WorkspaceName(0), Service: "engine",
+			IdempotencyKey: key, Deadline: 5 * time.Second, Body: body,
+		})
+		is.NoErr(err)
+		is.Equal(reply.Outcome, entryserver.OutcomeAnswered)
+		frames, ended := reply.Frames()
+		is.True(ended)
+		is.Equal(len(frames), testTokens)
+	}
+	is.Equal(s.KeyRuns()[key], 1)
+}
+
 func TestBadRequestsAreRefusedAsNotRun(t *testing.T) {
 	t.Parallel()
 	s := start(t, small(), deployer.Options{Entry: func(c *entryserver.Config) { c.MaxBodyBytes = 10_000 }})
--- a/internal/entryserver/attempt.go
+++ b/internal/entryserver/attempt.go
@@ -38,6 +38,12 @@
 	return e.reason
 }
 
+// isClaimed tells whether another attempt holds the claim on the key. Then only
+// the owner may know more.
+func (e *attemptError) isClaimed() bool {
+	return e.outcome == messenger.Outcome_OUTCOME_RAN_ANSWER_LOST || e.reason == refuser.ReasonClaimedElsewhere
+}
+
 // attempt is one try to have a call run by one endpoint.
 type attempt struct {
 	id       string
@@ -282,7 +288,7 @@
 		if failure.outcome == messenger.Outcome_OUTCOME_UNKNOWN {
 			unknown = failure
 		}
-		if failure.outcome == messenger.Outcome_OUTCOME_RAN_ANSWER_LOST && (failure.owner == "" || failure.owner == owner) {
+		if failure.isClaimed() && (failure.owner == "" || failure.owner == owner) {
 			return nil, finalProblem(c, unknown, failure)
 		}
 		if !s.mayRetry(c, budget.Retry, failure) {
--- a/internal/sidecarserver/run.go
+++ b/internal/sidecarserver/run.go
@@ -348,13 +348,13 @@
 		return result{outcome: messenger.Outcome_OUTCOME_NOT_RUN, reason: refuser.ReasonExpired}
 	}
 	var data []byte
-	_, err := s.runOnEndpoint(ctx, req, func(piece []byte) error {
+	a, err := s.runOnEndpoint(ctx, req, func(piece []byte) error {
 		data = append(data, piece...)
 		return nil
 	})
 	if err == nil {
 		s.claims.answered(entry)
-		return result{outcome: messenger.Outcome_OUTCOME_WHOLE, data: data}
+		return result{outcome: messenger.Outcome_OUTCOME_WHOLE, data: append(data, a.End...)}
 	}
 	s.noteFailure(req, err)
 	r := asResult(err)
