--- a/internal/measurer/faults.go
+++ b/internal/measurer/faults.go
@@ -99,6 +99,7 @@
 	sc := oneRegion(faultInstances, true, seed)
 	sc.weightsBytes /= 2
 	sc.window /= 2
+	sc = cfg.scaled(sc)
 	sc.timeout = 60 * time.Second
 	f := &faultRun{cfg: cfg, kinds: map[fault]bool{}, rng: rand.New(rand.NewPCG(seed, 3)), lag: usualLag}
 	for _, k := range kinds {
