Name the lagging instances when a publish runs out of time

Cause: seen by hand: a publish against a paused sidecar ended with 'not yet in force on [the list of instances]', because the last measurement was cut short by the timeout. Change: the measurement before it is reported. Conclusion: looked at by hand with real processes; no test of its own yet.

--- a/internal/publisher/spread.go
+++ b/internal/publisher/spread.go
@@ -44,11 +44,16 @@
 	client := &fasthttp.Client{ReadTimeout: statusTimeout, WriteTimeout: statusTimeout}
 	last := -1
 	for {
-		s = measureSpread(ctx, directory, client, offset)
+		now := measureSpread(ctx, directory, client, offset)
+		if ctx.Err() != nil && last >= 0 {
+			// The last measurement was cut short; the one before names who lags.
+			return s, &LagError{Spread: s}
+		}
+		s = now
 		if len(s.InForce) != last && progress != nil {
-			last = len(s.InForce)
 			progress(s)
 		}
+		last = len(s.InForce)
 		if len(s.Lagging) == 0 && len(s.InForce) > 0 {
 			return s, nil
 		}
