Pause in one place, and drop what nothing uses

Cause: on reading the whole change again, three packages had each their own pause that a context cuts short, a fourth spelled it out; IsNotFound had no caller, and the action for a gap carried a gap that nobody read. Change: package pauser serves all four; the dead parts are gone. Conclusion: shapes that repeat by nature (constants, settings, events) stay.

--- a/internal/entryserver/configuration.go
+++ b/internal/entryserver/configuration.go
@@ -52,7 +52,7 @@
 	next, outcomes, err := s.kept.WithPage(page)
 	var gap *provider.GapError
 	if errors.As(err, &gap) {
-		return s, []controller.Action{line(logger.RetentionGap, zap.Error(err)), gapFound{gap: gap}}
+		return s, []controller.Action{line(logger.RetentionGap, zap.Error(err)), gapFound{}}
 	}
 	s.kept = next
 	actions := make([]controller.Action, 0, len(outcomes)+1)
--- a/internal/entryserver/state.go
+++ b/internal/entryserver/state.go
@@ -69,7 +69,7 @@
 	// configurationChanged wakes the control streams.
 	configurationChanged struct{}
 	// gapFound asks for a state that does not come from the log's tail.
-	gapFound struct{ gap *provider.GapError }
+	gapFound struct{}
 	// throughFell reports a defect: the configuration would have moved back.
 	throughFell struct{ from, to uint64 }
 )
--- a/internal/keeper/tail.go
+++ b/internal/keeper/tail.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"flamingoledge.org/flamingoledge/internal/logger"
+	"flamingoledge.org/flamingoledge/internal/pauser"
 	"flamingoledge.org/flamingoledge/pkg/provider"
 )
 
@@ -40,10 +41,7 @@
 		}
 		down = true
 		wait = 0
-		select {
-		case <-ctx.Done():
-		case <-time.After(pauseAfterError):
-		}
+		pauser.Pause(ctx, pauseAfterError)
 	}
 }
 
--- a/internal/platformclient/client.go
+++ b/internal/platformclient/client.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"net/url"
@@ -255,9 +254,3 @@
 	}
 	return d
 }
-
-// IsNotFound tells whether the platform answered that it lacks the thing.
-func IsNotFound(err error) bool {
-	var nf *provider.NotFoundError
-	return errors.As(err, &nf)
-}
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"flamingoledge.org/flamingoledge/internal/keeper"
+	"flamingoledge.org/flamingoledge/internal/pauser"
 	"flamingoledge.org/flamingoledge/pkg/acceptor"
 	"flamingoledge.org/flamingoledge/pkg/interpreter"
 	"flamingoledge.org/flamingoledge/pkg/provider"
@@ -141,7 +142,7 @@
 			if k, err = advance(ctx, log, k, see); err == nil || ctx.Err() != nil {
 				break
 			}
-			sleep(ctx, retryPause)
+			pauser.Pause(ctx, retryPause)
 		}
 		switch {
 		case seen != nil && seen.Verdict == acceptor.VerdictAccepted:
@@ -154,15 +155,6 @@
 			}
 			return 0, &UnknownError{RecordID: e.RecordID, From: from, Cause: appendErr}
 		}
-		sleep(ctx, retryPause)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		pauser.Pause(ctx, retryPause)
 	}
 }
--- a/internal/publisher/spread.go
+++ b/internal/publisher/spread.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"flamingoledge.org/flamingoledge/internal/pauser"
 	"flamingoledge.org/flamingoledge/internal/reporter"
 	"flamingoledge.org/flamingoledge/pkg/provider"
 )
@@ -60,7 +61,7 @@
 		if ctx.Err() != nil {
 			return s, &LagError{Spread: s}
 		}
-		sleep(ctx, spreadPoll)
+		pauser.Pause(ctx, spreadPoll)
 	}
 }
 
--- a/internal/sidecarserver/attach.go
+++ b/internal/sidecarserver/attach.go
@@ -11,6 +11,7 @@
 
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/internal/pauser"
 	"flamingoledge.org/flamingoledge/pkg/provider"
 	"flamingoledge.org/flamingoledge/pkg/ranker"
 )
@@ -74,7 +75,7 @@
 		if ctx.Err() == nil {
 			logger.Log(s.cfg.Logger, logger.EntryLost, zap.String("entry", address), zap.Error(err))
 		}
-		pause(ctx, reattachAfter)
+		pauser.Pause(ctx, reattachAfter)
 	}
 }
 
--- a/internal/sidecarserver/claims.go
+++ b/internal/sidecarserver/claims.go
@@ -12,6 +12,7 @@
 
 	"flamingoledge.org/flamingoledge/internal/keeper"
 	"flamingoledge.org/flamingoledge/internal/logger"
+	"flamingoledge.org/flamingoledge/internal/pauser"
 	"flamingoledge.org/flamingoledge/pkg/claimer"
 	"flamingoledge.org/flamingoledge/pkg/provider"
 )
@@ -154,7 +155,7 @@
 			if err == nil {
 				break
 			}
-			pause(ctx, claimRetryWait)
+			pauser.Pause(ctx, claimRetryWait)
 		}
 	}
 }
--- a/internal/sidecarserver/deaths.go
+++ b/internal/sidecarserver/deaths.go
@@ -13,6 +13,7 @@
 	"flamingoledge.org/flamingoledge/internal/endpointclient"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/internal/pauser"
 	"flamingoledge.org/flamingoledge/pkg/quarantiner"
 )
 
@@ -137,7 +138,7 @@
 		if d.server.watcher.Report(ctx, e) == nil {
 			return
 		}
-		pause(ctx, claimRetryWait)
+		pauser.Pause(ctx, claimRetryWait)
 	}
 	d.server.metrics.Add("unreported_deaths", 1)
 }
--- a/internal/sidecarserver/lease.go
+++ b/internal/sidecarserver/lease.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"flamingoledge.org/flamingoledge/internal/logger"
+	"flamingoledge.org/flamingoledge/internal/pauser"
 	"flamingoledge.org/flamingoledge/pkg/fencer"
 	"flamingoledge.org/flamingoledge/pkg/provider"
 )
@@ -50,7 +51,7 @@
 	h.acquire(ctx)
 	for ctx.Err() == nil {
 		if err := h.renew(ctx); err != nil {
-			pause(ctx, leaseRetryWait)
+			pauser.Pause(ctx, leaseRetryWait)
 			continue
 		}
 		if h.isSuperseded() {
@@ -74,7 +75,7 @@
 			logger.Log(h.logger, logger.LeaseAcquired, zap.Uint64("fencing", number))
 			return
 		}
-		pause(ctx, leaseRetryWait)
+		pauser.Pause(ctx, leaseRetryWait)
 	}
 }
 
@@ -100,12 +101,3 @@
 	var le *fencer.LeaseError
 	return errors.As(err, &le) && le.Superseded
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/transferrer/link.go
+++ b/internal/transferrer/link.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc"
 
 	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/internal/pauser"
 	"flamingoledge.org/flamingoledge/pkg/chunker"
 	"flamingoledge.org/flamingoledge/pkg/planner"
 )
@@ -92,7 +93,7 @@
 		case req.Wanted = <-l.wants:
 		case req.Index = <-l.outbox:
 			req.Ask = true
-			if !wait(ctx, t.paceFetch(l.peer, int(req.GetIndex()))) {
+			if !pauser.Pause(ctx, t.paceFetch(l.peer, int(req.GetIndex()))) {
 				return
 			}
 		}
@@ -149,7 +150,7 @@
 	ctx, cancel := context.WithTimeout(ctx, t.cfg.OriginTimeout)
 	defer cancel()
 	m := t.cfg.Assembly.Manifest()
-	if !wait(ctx, t.cfg.Down.Reserve(time.Now(), m.ChunkLen(f.Index))) {
+	if !pauser.Pause(ctx, t.cfg.Down.Reserve(time.Now(), m.ChunkLen(f.Index))) {
 		t.post(event{kind: kindFailed, fetch: f, why: planner.FailureUnavailable, err: ctx.Err()})
 		return
 	}
--- a/internal/transferrer/server.go
+++ b/internal/transferrer/server.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/internal/pauser"
 	"flamingoledge.org/flamingoledge/pkg/assembler"
 	"flamingoledge.org/flamingoledge/pkg/chunker"
 	"flamingoledge.org/flamingoledge/pkg/pacer"
@@ -115,7 +116,7 @@
 		case i := <-e.requests:
 			reply.Index, reply.Data = i, e.assembly.Chunk(int(i))
 			reply.Missing = reply.Data == nil
-			if !wait(ctx, e.up.Reserve(time.Now(), len(reply.GetData()))) {
+			if !pauser.Pause(ctx, e.up.Reserve(time.Now(), len(reply.GetData()))) {
 				return nil
 			}
 			if err := e.stream.Send(&reply); err != nil {
@@ -168,18 +169,3 @@
 	}
 	return &messenger.ManifestReply{Data: data}, nil
 }
-
-// wait pauses for d; false if ctx ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
