--- /dev/null
+++ b/internal/configurator/node.go
@@ -0,0 +1,138 @@
+package configurator
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Node are the settings of a process that calls endpoints directly or stands
+// beside one, on an instance of the users' platform.
+type Node struct {
+	Instance Instance `json:"instance"`
+	// Regions maps each availability zone to its region.
+	Regions map[string]string `json:"regions"`
+	// Address is the instance's IP address.
+	Address string `json:"address"`
+	// NodePort takes datagrams and drpc connections of other processes; it is the
+	// same on all instances.
+	NodePort int `json:"node_port"`
+	// MetricsPort serves metrics; 0 for none.
+	MetricsPort int `json:"metrics_port"`
+	// CallersAddress and ReadyAddress are an entry's: where callers come and
+	// where the balancer asks whether they may.
+	CallersAddress string `json:"callers_address,omitempty"`
+	ReadyAddress   string `json:"ready_address,omitempty"`
+	// EndpointAddress and Service are a sidecar's: its endpoint.
+	EndpointAddress string `json:"endpoint_address,omitempty"`
+	Service         string `json:"service,omitempty"`
+	// Seeds are instances to learn of others from; they may be down.
+	Seeds []string `json:"seeds"`
+	// Store is the address of the platform's store.
+	Store string `json:"store"`
+	// LinkMbps is the rate of the instance's link, in Mbit/s.
+	LinkMbps float64 `json:"link_mbps"`
+	// MemoryMB is what the process may use, in MB.
+	MemoryMB int    `json:"memory_mb"`
+	LogLevel string `json:"log_level"`
+	Bounds   Bounds `json:"bounds"`
+}
+
+// Bounds are the users' time bounds and budgets.
+type Bounds struct {
+	DrainMillis         int64   `json:"drain_ms"`
+	GraceSeconds        float64 `json:"grace_s"`
+	ConfigurationMillis int64   `json:"configuration_ms"`
+	RevocationMillis    int64   `json:"revocation_ms"`
+	// RevocationStrict says that no request with a revoked key may run after
+	// RevocationMillis, whatever the process can reach.
+	RevocationStrict   bool    `json:"revocation_strict"`
+	VersionMillis      int64   `json:"version_ms"`
+	RetryRatio         float64 `json:"retry_ratio"`
+	RetryWindowSeconds float64 `json:"retry_window_s"`
+	RetryExtra         float64 `json:"retry_extra"`
+}
+
+// DefaultNode returns the settings that a file changes.
+func DefaultNode() *Node {
+	return &Node{
+		LogLevel: "info",
+		Bounds:   Bounds{DrainMillis: 2000, GraceSeconds: 8, ConfigurationMillis: 2000, RevocationMillis: 5000, RetryWindowSeconds: 10},
+	}
+}
+
+// Check implements Checker.
+func (n *Node) Check() error {
+	switch {
+	case n.Instance.Name == "":
+		return &FieldError{Field: "instance.name", Problem: "must not be empty"}
+	case n.Instance.AvailabilityZone == "":
+		return &FieldError{Field: "instance.availability_zone", Problem: "must not be empty"}
+	case n.NodePort < 1 || n.NodePort > maxPort:
+		return &FieldError{Field: "node_port", Problem: "must be 1 to 65535"}
+	case n.MetricsPort < 0 || n.MetricsPort > maxPort:
+		return &FieldError{Field: "metrics_port", Problem: "must be 0 to 65535"}
+	case n.MemoryMB < 0:
+		return &FieldError{Field: "memory_mb", Problem: "must not be negative"}
+	case n.LinkMbps < 0:
+		return &FieldError{Field: "link_mbps", Problem: "must not be negative"}
+	}
+	if _, err := netip.ParseAddr(n.Address); err != nil {
+		return &FieldError{Field: "address", Problem: "must be an IP address"}
+	}
+	if err := checkAddressPort("store", n.Store); err != nil {
+		return err
+	}
+	for _, s := range n.Seeds {
+		if err := checkAddressPort("seeds", s); err != nil {
+			return err
+		}
+	}
+	return n.Bounds.check()
+}
+
+const maxPort = 65535
+
+func (b Bounds) check() error {
+	switch {
+	case b.RetryRatio < 0:
+		return &FieldError{Field: "bounds.retry_ratio", Problem: "must not be negative"}
+	case b.RetryWindowSeconds <= 0:
+		return &FieldError{Field: "bounds.retry_window_s", Problem: "must be positive"}
+	case b.GraceSeconds <= 0:
+		return &FieldError{Field: "bounds.grace_s", Problem: "must be positive"}
+	case b.ConfigurationMillis <= 0:
+		return &FieldError{Field: "bounds.configuration_ms", Problem: "must be positive"}
+	case b.RevocationStrict && b.RevocationMillis <= 0:
+		return &FieldError{Field: "bounds.revocation_ms", Problem: "must be positive"}
+	}
+	return nil
+}
+
+// CheckEntry checks what an entry needs besides.
+func (n *Node) CheckEntry() error {
+	if err := checkAddressPort("callers_address", n.CallersAddress); err != nil {
+		return err
+	}
+	return checkAddressPort("ready_address", n.ReadyAddress)
+}
+
+// CheckSidecar checks what a sidecar needs besides.
+func (n *Node) CheckSidecar() error {
+	if n.Service == "" {
+		return &FieldError{Field: "service", Problem: "must not be empty"}
+	}
+	return checkAddressPort("endpoint_address", n.EndpointAddress)
+}
+
+func checkAddressPort(field, value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return &FieldError{Field: field, Problem: "must be an IP address with a port"}
+	}
+	return nil
+}
+
+// Millis returns a duration of whole milliseconds.
+func Millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// Seconds returns a duration of seconds.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/exchanger/exchanger.go
@@ -0,0 +1,378 @@
+// Package exchanger sends one HTTP/1.1 request over one connection and reads its
+// answer with the suspicion that callers' promises need: it tells whether a byte
+// may have reached the other side, whether an answer is whole and whether it
+// belongs to the request. A connection with anything unexpected is closed.
+package exchanger
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// maxForeign bounds the answers to other requests that are skipped on one
+	// connection, and maxForeignBytes the size of each.
+	maxForeign      = 2
+	maxForeignBytes = 1 << 20
+	// directWrite is the largest request that is written before the answer is
+	// read; it fits the socket's buffer.
+	directWrite = 16 << 10
+	readBuffer  = 4 << 10
+)
+
+// NotSentError tells that no byte of the request reached the other side.
+type NotSentError struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *NotSentError) Error() string { return fmt.Sprintf("%s: not sent: %v", e.Address, e.Cause) }
+
+// Unwrap returns the transport's error.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// LostError tells that the request may have run and its answer did not come, or
+// not whole.
+type LostError struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *LostError) Error() string { return fmt.Sprintf("%s: answer lost: %v", e.Address, e.Cause) }
+
+// Unwrap returns the transport's error.
+func (e *LostError) Unwrap() error { return e.Cause }
+
+// ErrForeign tells that the answers on a connection belonged to other requests.
+var ErrForeign = errors.New("the answer belongs to another request")
+
+// Config configures a Pool.
+type Config struct {
+	// DialTimeout bounds opening a connection.
+	DialTimeout time.Duration
+	// MaxIdle bounds how long a connection is kept without a request.
+	MaxIdle time.Duration
+	// MaxIdleConns bounds the idle connections to one address.
+	MaxIdleConns int
+	// UserTimeout is how long sent bytes may stay unacknowledged.
+	UserTimeout time.Duration
+}
+
+// Pool holds idle connections. It is safe for concurrent use.
+type Pool struct {
+	cfg Config
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+// New returns a pool without connections.
+func New(cfg Config) *Pool { return &Pool{cfg: cfg, idle: map[string][]*conn{}} }
+
+// Request is one attempt.
+type Request struct {
+	Address string
+	Method  string
+	// Target is the path with the query, as it goes on the request line.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Fresh asks for a new connection, on which no earlier answer can be late.
+	Fresh bool
+	// IsOwn tells by its headers whether an answer belongs to the request.
+	IsOwn func(http.Header) bool
+}
+
+// Answer is the head of an answer with the body to read.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the body's length, -1 if it is not told.
+	Length int64
+
+	pool *Pool
+	conn *conn
+	resp *http.Response
+	stop func() bool
+	// written is closed when the request was written as a whole.
+	written  chan struct{}
+	whole    bool
+	closed   bool
+	reusable bool
+}
+
+type conn struct {
+	net.Conn
+	br      *bufio.Reader
+	address string
+	until   time.Time
+}
+
+// Exchange sends a request and reads the head of its answer. When ctx ends, the
+// connection fails at once, also while the body is read.
+func (p *Pool) Exchange(ctx context.Context, r Request) (*Answer, error) {
+	c, err := p.connect(ctx, r)
+	if err != nil {
+		return nil, &NotSentError{Address: r.Address, Cause: err}
+	}
+	a := &Answer{pool: p, conn: c, written: make(chan struct{})}
+	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	if err = a.write(r); err == nil {
+		err = a.readHead(r)
+	}
+	if err != nil {
+		a.drop()
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, &LostError{Address: r.Address, Cause: err}
+	}
+	return a, nil
+}
+
+func (p *Pool) connect(ctx context.Context, r Request) (*conn, error) {
+	if !r.Fresh {
+		if c := p.take(r.Address); c != nil {
+			return c, nil
+		}
+	}
+	d := net.Dialer{
+		Timeout:         p.cfg.DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: p.cfg.UserTimeout / 2, Interval: p.cfg.UserTimeout / 2, Count: 2},
+		Control:         p.setUserTimeout,
+	}
+	nc, err := d.DialContext(ctx, "tcp", r.Address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), address: r.Address}, nil
+}
+
+// setUserTimeout bounds how long a cut goes unnoticed while bytes are on the way.
+func (p *Pool) setUserTimeout(_, _ string, raw syscall.RawConn) (err error) {
+	if cerr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.cfg.UserTimeout.Milliseconds()))
+	}); cerr != nil {
+		return cerr
+	}
+	return err
+}
+
+// take returns an idle connection on which nothing has come meanwhile.
+func (p *Pool) take(address string) *conn {
+	for {
+		p.mu.Lock()
+		cs := p.idle[address]
+		if len(cs) == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := cs[len(cs)-1]
+		p.idle[address] = cs[:len(cs)-1]
+		p.mu.Unlock()
+		if time.Now().Before(c.until) && c.isSilent() {
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+// isSilent tells whether nothing waits to be read: neither bytes that belong to
+// no request nor the end of the connection.
+func (c *conn) isSilent() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok || c.br.Buffered() > 0 {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, rerr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		silent = errors.Is(rerr, unix.EAGAIN)
+	})
+	return err == nil && silent
+}
+
+// Drop closes the idle connections to an address, as when its endpoint leaves.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	cs := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range cs {
+		_ = c.Close()
+	}
+}
+
+// Prune closes the connections that were idle for too long.
+func (p *Pool) Prune(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, cs := range p.idle {
+		kept := cs[:0]
+		for _, c := range cs {
+			if now.Before(c.until) {
+				kept = append(kept, c)
+			} else {
+				_ = c.Close()
+			}
+		}
+		if p.idle[address] = kept; len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
+func (p *Pool) put(c *conn, keep time.Duration) {
+	c.until = time.Now().Add(min(keep, p.cfg.MaxIdle))
+	_ = c.SetDeadline(time.Time{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.address]) >= p.cfg.MaxIdleConns {
+		_ = c.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// write sends the request. A long one is written beside the reading, because the
+// other side may answer before it has read all of it.
+func (a *Answer) write(r Request) error {
+	var b bytes.Buffer
+	b.Grow(len(r.Body) + 1<<10)
+	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	_ = r.Header.Write(&b)
+	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	if b.Len() <= directWrite {
+		defer close(a.written)
+		_, err := a.conn.Write(b.Bytes())
+		return err
+	}
+	go func() {
+		if _, err := a.conn.Write(b.Bytes()); err == nil {
+			close(a.written)
+		}
+	}()
+	return nil
+}
+
+func (a *Answer) isWritten() bool {
+	select {
+	case <-a.written:
+		return true
+	default:
+		return false
+	}
+}
+
+// readHead reads heads of answers until one belongs to the request.
+func (a *Answer) readHead(r Request) (err error) {
+	for range maxForeign + 1 {
+		//nolint:bodyclose // The connection is the answer's; Close and drop end it.
+		if a.resp, err = http.ReadResponse(a.conn.br, &http.Request{Method: r.Method}); err != nil {
+			return err
+		}
+		if a.resp.StatusCode < http.StatusOK {
+			continue
+		}
+		if r.IsOwn == nil || r.IsOwn(a.resp.Header) {
+			a.Status, a.Header, a.Length = a.resp.StatusCode, a.resp.Header, a.resp.ContentLength
+			a.reusable = !a.resp.Close && a.isFramed()
+			return nil
+		}
+		if !a.isFramed() {
+			return ErrForeign
+		}
+		if _, err = io.CopyN(io.Discard, a.resp.Body, maxForeignBytes); !errors.Is(err, io.EOF) {
+			return ErrForeign
+		}
+		// What followed may be late as well, so nothing else uses the connection.
+		a.resp.Close = true
+	}
+	return ErrForeign
+}
+
+// isFramed tells whether the body has an end of its own.
+func (a *Answer) isFramed() bool {
+	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+}
+
+// Read reads the body. io.EOF means that the body is whole; any other error that
+// it is not.
+func (a *Answer) Read(b []byte) (int, error) {
+	n, err := a.resp.Body.Read(b)
+	if errors.Is(err, io.EOF) {
+		a.whole = true
+		return n, io.EOF
+	}
+	if err != nil {
+		return n, &LostError{Address: a.conn.address, Cause: err}
+	}
+	return n, nil
+}
+
+// Close ends the exchange. The connection is used again only after a whole body
+// and a whole request.
+func (a *Answer) Close() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	stopped := a.stop()
+	if !stopped || !a.whole || !a.reusable || a.resp.Close || !a.isWritten() || a.conn.br.Buffered() > 0 {
+		_ = a.conn.Close()
+		return
+	}
+	a.pool.put(a.conn, keepAlive(a.Header))
+}
+
+func (a *Answer) drop() {
+	a.closed = true
+	a.stop()
+	_ = a.conn.Close()
+}
+
+const (
+	// keepShare of the time that the other side states is used, since its clock
+	// began earlier.
+	keepShare   = 0.6
+	defaultKeep = time.Hour
+)
+
+// keepAlive returns how long the other side keeps an idle connection.
+func keepAlive(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if n, err := strconv.Atoi(value); err == nil && n >= 0 {
+			return time.Duration(float64(n) * keepShare * float64(time.Second))
+		}
+	}
+	return defaultKeep
+}
--- /dev/null
+++ b/internal/exchanger/headers.go
@@ -0,0 +1,30 @@
+package exchanger
+
+import (
+	"net/http"
+	"strings"
+)
+
+// connectionHeaders concern one connection only and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Host",
+}
+
+// EndToEnd returns the headers of h that concern more than one connection. The
+// values are shared with h.
+func EndToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for k, v := range h {
+		out[k] = v
+	}
+	for _, names := range h["Connection"] {
+		for name := range strings.SplitSeq(names, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, k := range connectionHeaders {
+		out.Del(k)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gatewayserver/presence.go
@@ -0,0 +1,144 @@
+package gatewayserver
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/internal/pauser"
+	"flamingoledge.org/flamingoledge/pkg/balancer"
+)
+
+const (
+	// presenceInterval is the time between presences; several are lost before a
+	// peer is, and a crash is told within a second.
+	presenceInterval = 400 * time.Millisecond
+	// maxPresences bounds how many peers are told at a time, and maxTellPeers how
+	// many are named in one presence.
+	maxPresences = 12
+	maxTellPeers = 24
+	// reportLag is how old a sidecar's reading is when it arrives.
+	reportLag = 15 * time.Millisecond
+)
+
+// sendPresence tells other entries what this one believes.
+func (s *Server) sendPresence(ctx context.Context) {
+	for ctx.Err() == nil {
+		to := s.acquaintances()
+		rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+		for _, address := range to[:min(len(to), maxPresences)] {
+			s.tell(address, 0)
+		}
+		pauser.Pause(ctx, s.jitter(2*presenceInterval)*2/3)
+	}
+}
+
+// acquaintances returns the entries that are known and the seeds.
+func (s *Server) acquaintances() (to []netip.AddrPort) {
+	known := map[netip.AddrPort]struct{}{}
+	for address := range s.board.View().peers {
+		if ap, err := netip.ParseAddrPort(address); err == nil {
+			known[ap] = struct{}{}
+		}
+	}
+	for _, seed := range s.cfg.Settings.Seeds {
+		if ap, err := netip.ParseAddrPort(seed); err == nil {
+			known[s.nodeAddress(ap.Addr())] = struct{}{}
+		}
+	}
+	for ap := range known {
+		if ap.String() != s.self {
+			to = append(to, ap)
+		}
+	}
+	return to
+}
+
+// tell sends a presence; echo is the time of sending of the one that it answers.
+func (s *Server) tell(to netip.AddrPort, echo uint64) {
+	now := s.cfg.Clock()
+	v := s.board.View()
+	p := &messenger.Presence{
+		Instance:      s.cfg.Settings.Instance.Name,
+		Address:       s.self,
+		Region:        s.cfg.Settings.Instance.Region,
+		SentNanos:     uint64(now.UnixNano()),
+		EchoNanos:     echo,
+		ConfigKnown:   v.config.table != nil,
+		ConfigVersion: v.config.version(),
+		ConfigDigest:  v.config.digest,
+		ConfigAgeMs:   ageMillis(now, v.config.provenAt),
+		ListKnown:     v.list.known,
+		ListDigest:    v.list.digest,
+		ListAgeMs:     ageMillis(now, v.list.provenAt),
+		Leaving:       s.leaving.Load(),
+		Crashes:       s.crashes.recent(),
+	}
+	if echo == 0 {
+		names := slices.Collect(maps.Keys(v.peers))
+		p.Peers = names[:min(len(names), maxTellPeers)]
+	}
+	if err := s.socket.Send(to, &messenger.Datagram{Presence: p}); err != nil {
+		s.cfg.Metrics.Add("presence_unsent", 1)
+	}
+}
+
+// ageMillis rounds up, so that a proof never looks fresher than it is.
+func ageMillis(now, at time.Time) uint32 {
+	ms := now.Sub(at)/time.Millisecond + 1
+	return uint32(min(max(ms, 0), maxAge))
+}
+
+// maxAge stands for all ages from about a month on.
+const maxAge = 1 << 31
+
+// receive takes a datagram.
+func (s *Server) receive(from netip.AddrPort, d *messenger.Datagram) {
+	if p := d.GetPresence(); p != nil {
+		s.board.Post(presence{heard: p})
+		s.crashes.hear(p.GetCrashes())
+		if p.GetEchoNanos() == 0 {
+			s.tell(from, p.GetSentNanos())
+			s.meet(p.GetPeers())
+		}
+	}
+	if l := d.GetLoad(); l != nil {
+		s.takeLoad(l)
+	}
+}
+
+// meet tells entries that this one has not heard of yet.
+func (s *Server) meet(addresses []string) {
+	known := s.board.View().peers
+	for _, address := range addresses {
+		if _, ok := known[address]; ok || address == s.self {
+			continue
+		}
+		if ap, err := netip.ParseAddrPort(address); err == nil {
+			s.tell(ap, 0)
+		}
+	}
+}
+
+// takeLoad takes a sidecar's report. Only what changes which requests its endpoint
+// may get goes through the blackboard.
+func (s *Server) takeLoad(l *messenger.LoadReport) {
+	now := s.cfg.Clock()
+	v := s.board.View()
+	t := told{born: int64(l.GetBorn()), version: l.GetVersion(), switching: l.GetSwitching(), at: now}
+	old := v.told[l.GetEndpoint()]
+	if old.born != t.born || old.version != t.version || old.switching != t.switching || now.Sub(old.at) > toldFor/3 {
+		s.board.Post(sidecarTold{address: l.GetEndpoint(), told: t})
+	}
+	for _, e := range v.list.endpoints.All() {
+		if e.Address == l.GetEndpoint() {
+			s.forward.Report(e.Service, e.ID, now.Add(-reportLag), balancer.Load{
+				Running: int(l.GetActive()), Queued: int(l.GetQueued()), Pace: float64(l.GetPace()),
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/gatewayserver/relay.go
@@ -0,0 +1,208 @@
+package gatewayserver
+
+import (
+	"context"
+	"encoding/binary"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/pkg/resolver"
+	"flamingoledge.org/flamingoledge/platform"
+)
+
+var _ messenger.DRPCRelayServer = (*Server)(nil)
+
+const (
+	// beliefTimeout bounds an exchange of beliefs; a large configuration takes
+	// some tens of milliseconds.
+	beliefTimeout = 1500 * time.Millisecond
+	// maxPlanWait bounds how long a sidecar's question waits for news.
+	maxPlanWait = 5 * time.Second
+)
+
+// Belief implements the relay service: it hands on what the store said, verbatim.
+func (s *Server) Belief(_ context.Context, req *messenger.BeliefRequest) (*messenger.BeliefReply, error) {
+	now := s.cfg.Clock()
+	v := s.board.View()
+	reply := &messenger.BeliefReply{
+		ConfigKnown: v.config.table != nil, ConfigDigest: v.config.digest, ConfigAgeMs: ageMillis(now, v.config.provenAt),
+		ListKnown: v.list.known, ListDigest: v.list.digest, ListAgeMs: ageMillis(now, v.list.provenAt),
+	}
+	if req.GetConfigDigest() != v.config.digest {
+		reply.Config = storedValues(v.config.values)
+	}
+	if req.GetListDigest() != v.list.digest {
+		reply.List = storedValues(v.list.values)
+	}
+	return reply, nil
+}
+
+func storedValues(values map[string]platform.Value) (out []*messenger.StoredValue) {
+	for _, v := range sortedValues(values) {
+		out = append(out, &messenger.StoredValue{Key: v.Key, Value: v.Data, Offset: v.Offset})
+	}
+	return out
+}
+
+func valuesOf(stored []*messenger.StoredValue) (out []platform.Value) {
+	for _, v := range stored {
+		out = append(out, platform.Value{Key: v.GetKey(), Data: v.GetValue(), Offset: v.GetOffset()})
+	}
+	return out
+}
+
+// askForBelief asks a peer for what this process lacks, once at a time.
+func (s *Server) askForBelief(address string) {
+	if _, busy := s.asking.LoadOrStore(address, struct{}{}); busy {
+		return
+	}
+	go func() {
+		defer s.asking.Delete(address)
+		ctx, cancel := context.WithTimeout(context.Background(), beliefTimeout)
+		defer cancel()
+		if err := s.takeBelief(ctx, address); err != nil {
+			s.cfg.Metrics.Add("beliefs_failed", 1)
+			return
+		}
+		// The next presence tells whether anything is lacking still.
+		time.Sleep(presenceInterval / 2)
+	}()
+}
+
+func (s *Server) takeBelief(ctx context.Context, address string) error {
+	conn, err := s.conns.Get(ctx, address)
+	if err != nil {
+		return err
+	}
+	asked := s.cfg.Clock()
+	v := s.board.View()
+	reply, err := messenger.NewDRPCRelayClient(conn).Belief(ctx, &messenger.BeliefRequest{ConfigDigest: v.config.digest, ListDigest: v.list.digest})
+	if err != nil {
+		_ = conn.Close()
+		return err
+	}
+	s.conns.Put(address, conn)
+	if reply.GetConfigKnown() {
+		// The reply was true when it was made, which was after the question.
+		began := asked.Add(-age(reply.GetConfigAgeMs()))
+		if err = s.board.Send(ctx, configRead{values: valuesOf(reply.GetConfig()), began: began, source: address}); err != nil {
+			return err
+		}
+	}
+	began := asked.Add(-age(reply.GetListAgeMs()))
+	if reply.GetListKnown() && began.Sub(v.list.provenAt) > listStale && len(reply.GetList()) > 0 {
+		return s.board.Send(ctx, listRead{values: valuesOf(reply.GetList()), snapshot: true, began: began, source: address})
+	}
+	return nil
+}
+
+// Plan implements the relay service: it tells a sidecar what its endpoint should
+// hold, as soon as that differs from what it knows.
+func (s *Server) Plan(ctx context.Context, req *messenger.PlanRequest) (*messenger.PlanReply, error) {
+	timeout := time.NewTimer(min(time.Duration(req.GetWaitMs())*time.Millisecond, maxPlanWait))
+	defer timeout.Stop()
+	for {
+		changed := s.changed.Wait()
+		reply := s.plan(s.board.View(), req.GetService())
+		if reply.GetDigest() != req.GetKnownDigest() {
+			return reply, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return reply, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (s *Server) plan(v *state, service string) *messenger.PlanReply {
+	reply := &messenger.PlanReply{}
+	if v.config.table == nil {
+		return reply
+	}
+	reply.Known = true
+	s.planEngine(v, service, reply)
+	for _, e := range v.list.endpoints.All() {
+		if e.Service != service {
+			continue
+		}
+		if ap, err := netip.ParseAddrPort(e.Address); err == nil {
+			reply.Members = append(reply.Members, &messenger.PlanMember{
+				Address: s.nodeAddress(ap.Addr()).String(), Region: s.cfg.Settings.Regions[e.AvailabilityZone],
+			})
+		}
+	}
+	reply.Entries = append(slices.Sorted(maps.Keys(v.peers)), s.self)
+	slices.Sort(reply.Entries)
+	reply.Digest = planDigest(reply)
+	s.planVersions(v, service, reply)
+	return reply
+}
+
+// planEngine names the origin and the size of the weights.
+func (s *Server) planEngine(v *state, service string, reply *messenger.PlanReply) {
+	cfg := v.config.table.Configuration()
+	for i := range cfg.Services {
+		if o := cfg.Services[i].Origin; o != nil {
+			reply.OriginAddress, reply.OriginRegion = o.Address, s.cfg.Settings.Regions[o.AvailabilityZone]
+		}
+	}
+	if e := engineOf(v.config.table, service); e != nil {
+		reply.Layers, reply.Chunks, reply.ChunkBytes = uint32(e.Layers), uint32(e.Chunks), uint32(e.ChunkBytes)
+	}
+}
+
+func engineOf(t *resolver.Table, service string) *resolver.Engine {
+	if one := t.Service(service); one != nil {
+		return one.Engine
+	}
+	return nil
+}
+
+// planVersions names the wanted versions: those that operators named, or else the
+// newest one that an endpoint holds.
+func (s *Server) planVersions(v *state, service string, reply *messenger.PlanReply) {
+	e := engineOf(v.config.table, service)
+	if e == nil {
+		return
+	}
+	now := s.cfg.Clock()
+	for _, model := range e.Models {
+		named, ok := v.config.versions[model]
+		wanted := &messenger.NamedVersion{Model: model, Version: named.Version, AgeMs: ageMillis(now, named.LearnedAt)}
+		if !ok {
+			wanted.AgeMs = 0
+			for _, one := range v.list.endpoints.All() {
+				for _, m := range one.Held {
+					if m.Model == model {
+						wanted.Version = max(wanted.Version, m.Version)
+					}
+				}
+			}
+		}
+		if wanted.Version > 0 {
+			reply.Versions = append(reply.Versions, wanted)
+			h := xxhash.New()
+			_, _ = h.Write(binary.BigEndian.AppendUint64(nil, reply.GetDigest()))
+			_, _ = h.WriteString(model)
+			_, _ = h.Write(binary.BigEndian.AppendUint64(nil, wanted.GetVersion()))
+			reply.Digest = h.Sum64()
+		}
+	}
+}
+
+func planDigest(reply *messenger.PlanReply) uint64 {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(reply)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(b)
+}
--- /dev/null
+++ b/internal/gatewayserver/server.go
@@ -0,0 +1,313 @@
+// Package gatewayserver is the entry that calls endpoints directly: it follows
+// the platform's store, exchanges beliefs with the other entries, hears of the
+// endpoints' load from the sidecars beside them and forwards callers' requests.
+package gatewayserver
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"storj.io/drpc/drpcmux"
+
+	"flamingoledge.org/flamingoledge/internal/configurator"
+	"flamingoledge.org/flamingoledge/internal/connector"
+	"flamingoledge.org/flamingoledge/internal/exchanger"
+	"flamingoledge.org/flamingoledge/internal/forwarder"
+	"flamingoledge.org/flamingoledge/internal/gossiper"
+	"flamingoledge.org/flamingoledge/internal/logger"
+	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/internal/notifier"
+	"flamingoledge.org/flamingoledge/internal/pauser"
+	"flamingoledge.org/flamingoledge/pkg/controller"
+	"flamingoledge.org/flamingoledge/platform"
+)
+
+// Config configures a Server.
+type Config struct {
+	Settings *configurator.Node
+	// Clock returns the time that leases are counted with.
+	Clock   func() time.Time
+	Logger  *zap.Logger
+	Metrics *expvar.Map
+}
+
+const (
+	controlQueue = 4096
+	tickInterval = 100 * time.Millisecond
+	// dialTimeout bounds a connection to an endpoint, which is a few
+	// milliseconds away; a lost opening packet is repeated after a second.
+	dialTimeout = 400 * time.Millisecond
+	// userTimeout is how long a cut may go unnoticed while bytes are on the way.
+	userTimeout = 2 * time.Second
+	// maxIdle is how long a connection to an endpoint is kept idle; endpoints may
+	// drop idle ones without notice.
+	maxIdle = 2 * time.Second
+	// maxIdleConns bounds the idle connections to one endpoint, which takes a few
+	// hundred from all processes.
+	maxIdleConns = 16
+	// headerTimeout bounds the reading of a request's head, idleTimeout the pause
+	// between requests; both are above what callers are told.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeaderBytes and maxBodyBytes are above what configurations allow.
+	maxHeaderBytes = 64 << 10
+	maxBodyBytes   = 8 << 20
+	// rotationTime is how long after a stop was asked for new connections still
+	// come: the balancer asks once a second and needs two misses.
+	rotationTime = 3 * time.Second
+	// stopMargin is kept before the platform kills the process.
+	stopMargin = 700 * time.Millisecond
+	pollPause  = 20 * time.Millisecond
+	// revocationMargin covers the way of a request from the check to the endpoint.
+	revocationMargin = 150 * time.Millisecond
+	// denialShare of the configuration bound is how old a proof may be to deny a
+	// request by it.
+	denialShare = 0.8
+)
+
+// Server is one entry.
+type Server struct {
+	cfg     Config
+	self    string
+	board   *controller.Board[state]
+	forward *forwarder.Forwarder
+	pool    *exchanger.Pool
+	socket  *gossiper.Socket
+	conns   connector.Pool
+	crashes *crashes
+	changed notifier.Notifier
+	asking  sync.Map
+	lost    atomic.Int32
+	leaving atomic.Bool
+}
+
+// New returns an entry that does not run yet.
+func New(cfg Config) (s *Server, err error) {
+	n := cfg.Settings
+	s = &Server{cfg: cfg, self: net.JoinHostPort(n.Address, strconv.Itoa(n.NodePort)), crashes: newCrashes(cfg.Clock)}
+	s.conns.Dialer = &connector.Dialer{}
+	s.pool = exchanger.New(exchanger.Config{DialTimeout: dialTimeout, MaxIdle: maxIdle, MaxIdleConns: maxIdleConns, UserTimeout: userTimeout})
+	if s.socket, err = gossiper.Listen(s.self); err != nil {
+		return nil, err
+	}
+	s.board = controller.New(controller.Config[state]{
+		Controllers: []controller.Controller[state]{
+			configurationController{}, endpointsController{}, peersController{self: s.self},
+		},
+		QueueLength:  controlQueue,
+		TickInterval: tickInterval,
+		Clock:        cfg.Clock,
+		Perform:      s.perform,
+		Dropped: func(controller.Event) {
+			cfg.Metrics.Add("control_events_dropped", 1)
+			logger.Log(cfg.Logger, logger.QueueFull)
+		},
+	})
+	s.forward = forwarder.New(forwarder.Config{
+		Translator:   platform.Headers{},
+		Pool:         s.pool,
+		Beliefs:      func() *forwarder.Beliefs { return s.board.View().beliefs() },
+		Clock:        cfg.Clock,
+		Bounds:       bounds(n.Bounds),
+		Region:       n.Instance.Region,
+		MaxBodyBytes: maxBodyBytes,
+		Crashes:      s.crashes,
+		Logger:       cfg.Logger,
+		Metrics:      cfg.Metrics,
+	})
+	return s, nil
+}
+
+func bounds(b configurator.Bounds) forwarder.Bounds {
+	revocation := configurator.Millis(b.RevocationMillis) - revocationMargin
+	if !b.RevocationStrict {
+		revocation = noBound
+	}
+	return forwarder.Bounds{
+		Revocation:    revocation,
+		Configuration: time.Duration(denialShare * float64(configurator.Millis(b.ConfigurationMillis))),
+		Version:       configurator.Millis(b.VersionMillis),
+		RetryRatio:    b.RetryRatio,
+		RetryWindow:   configurator.Seconds(b.RetryWindowSeconds),
+		RetryExtra:    b.RetryExtra,
+	}
+}
+
+// noBound is longer than any process lives.
+const noBound = 100 * 365 * 24 * time.Hour
+
+// Run serves until ctx ends, then leaves: requests in progress are finished
+// before the process ends.
+func (s *Server) Run(ctx context.Context) error {
+	n := s.cfg.Settings
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	callers, err := net.Listen("tcp", n.CallersAddress)
+	if err != nil {
+		return eris.Wrap(err, "callers' address")
+	}
+	ready, err := net.Listen("tcp", n.ReadyAddress)
+	if err != nil {
+		return eris.Wrap(err, "ready address")
+	}
+	nodes, err := net.Listen("tcp", s.self)
+	if err != nil {
+		return eris.Wrap(err, "node port")
+	}
+	server := s.callersServer(background)
+	readiness := &http.Server{Handler: http.HandlerFunc(s.handleReady), ReadHeaderTimeout: headerTimeout}
+	var wg sync.WaitGroup
+	failed := make(chan error, 3)
+	wg.Go(func() { s.board.Run(background) })
+	wg.Go(func() { s.socket.Receive(background, s.receive) })
+	wg.Go(func() { s.sendPresence(background) })
+	wg.Go(func() { s.configFollower().run(background) })
+	wg.Go(func() { s.listFollower().run(background) })
+	wg.Go(func() { s.prune(background) })
+	wg.Go(func() { failed <- connector.Serve(background, nodes, nil, s.mux()) })
+	wg.Go(func() { failed <- readiness.Serve(ready) })
+	wg.Go(func() { failed <- server.Serve(callers) })
+	logger.Log(s.cfg.Logger, logger.ProcessStarted, zap.String("address", s.self), zap.String("callers_address", n.CallersAddress))
+	select {
+	case <-ctx.Done():
+		s.leave(server)
+	case err = <-failed:
+	}
+	stop()
+	_ = server.Close()
+	_ = readiness.Close()
+	s.conns.Close()
+	wg.Wait()
+	logger.Log(s.cfg.Logger, logger.ProcessStopped, zap.Int64("cut_off", s.forward.InFlight()))
+	return err
+}
+
+func (s *Server) callersServer(ctx context.Context) *http.Server {
+	return &http.Server{
+		Handler:           s.forward,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          zap.NewStdLog(zap.NewNop()),
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+}
+
+// leave gives up readiness, takes what still comes while the balancer notices and
+// finishes what is in progress.
+func (s *Server) leave(server *http.Server) {
+	logger.Log(s.cfg.Logger, logger.ProcessDraining, zap.Int64("in_progress", s.forward.InFlight()))
+	s.leaving.Store(true)
+	s.forward.Leave()
+	began := time.Now()
+	deadline := began.Add(configurator.Seconds(s.cfg.Settings.Bounds.GraceSeconds) - stopMargin)
+	time.Sleep(min(rotationTime, time.Until(deadline)))
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	_ = server.Shutdown(ctx)
+}
+
+func (s *Server) prune(ctx context.Context) {
+	for pauser.Pause(ctx, maxIdle) {
+		s.pool.Prune(time.Now())
+	}
+}
+
+// handleReady answers the balancer. An outage of the store does not matter as long
+// as a configuration is known.
+func (s *Server) handleReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.PathReady {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if s.leaving.Load() || s.board.View().config.table == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (s *Server) mux() *drpcmux.Mux {
+	m := drpcmux.New()
+	if err := messenger.DRPCRegisterRelay(m, s); err != nil {
+		s.cfg.Logger.Panic("register relay service", zap.Error(err))
+	}
+	return m
+}
+
+// perform starts the controllers' actions; it runs on the control goroutine.
+func (s *Server) perform(a controller.Action) {
+	switch a := a.(type) {
+	case logLine:
+		logger.Log(s.cfg.Logger, a.event, a.fields...)
+	case endpointsChanged:
+		s.applyEndpoints()
+		s.changed.Notify()
+	case beliefWanted:
+		s.askForBelief(a.address)
+	}
+}
+
+// applyEndpoints hands the endpoints to the forwarder.
+func (s *Server) applyEndpoints() {
+	view := s.board.View()
+	byService := view.endpoints(s.cfg.Clock(), s.cfg.Settings.Regions)
+	for name, es := range byService {
+		s.forward.SetEndpoints(name, es)
+	}
+	for _, name := range gone(s.forward.Services(), byService) {
+		s.forward.SetEndpoints(name, nil)
+	}
+	s.forward.SetEntries(len(view.peers) + 1)
+}
+
+func (s *Server) configFollower() *follower {
+	return &follower{
+		server: s, store: platform.NewConfigurationStore(s.cfg.Settings.Store), wait: configWait,
+		take: func(values []platform.Value, _ bool, began time.Time) error {
+			return s.board.Send(context.Background(), configRead{values: values, began: began, source: sourceStore})
+		},
+	}
+}
+
+func (s *Server) listFollower() *follower {
+	return &follower{
+		server: s, store: platform.NewEndpointStore(s.cfg.Settings.Store), interval: listInterval,
+		take: func(values []platform.Value, snapshot bool, began time.Time) error {
+			return s.board.Send(context.Background(), listRead{values: values, snapshot: snapshot, began: began, source: sourceStore})
+		},
+	}
+}
+
+// sourceStore names the store in the log.
+const sourceStore = "store"
+
+func (s *Server) storeIsLost(ctx context.Context, cause error) {
+	if s.lost.Add(1) == 1 {
+		_ = s.board.Send(ctx, storeLost{cause: cause})
+	}
+}
+
+func (s *Server) storeIsBack(ctx context.Context) {
+	if s.lost.Add(-1) == 0 {
+		_ = s.board.Send(ctx, storeBack{})
+	}
+}
+
+// jitter spreads a pause so that processes do not come together.
+func (*Server) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)/2+1))
+}
+
+// nodeAddress returns the node address of the instance with an IP address.
+func (s *Server) nodeAddress(ip netip.Addr) netip.AddrPort {
+	return netip.AddrPortFrom(ip, uint16(s.cfg.Settings.NodePort))
+}
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -16,6 +16,18 @@
 		"The control queue was full and an event was dropped; its sender sends it again. Often: the process lacks processor time.")
 )
 
+// Events of processes that call endpoints directly.
+var (
+	LinesDropped = register(1006, "lines_dropped", zapcore.WarnLevel,
+		"Lines of the log were left out to bound its volume; the fields count them by event, `unread` those that the reader of the log did not take in time.")
+	SettingsReloaded = register(1007, "settings_reloaded", zapcore.InfoLevel,
+		"The settings were read again after SIGHUP. `changed` names what is different; what needs a restart is named too.")
+	MetricsUnserved = register(1009, "metrics_unserved", zapcore.WarnLevel,
+		"The metrics address could not be opened; everything else goes on.")
+	SettingsRefused = register(1008, "settings_refused", zapcore.ErrorLevel,
+		"The settings that were read after SIGHUP are not good; the old ones stay in use.")
+)
+
 // Events about keys and the audit.
 var (
 	KeysRead = register(1101, "keys_read", zapcore.InfoLevel,
@@ -50,6 +62,32 @@
 		"The process has reached neither the log nor a peer since its start and takes no work.")
 )
 
+// Events about the platform's store and what peers tell of it.
+var (
+	StoreLost = register(2101, "store_lost", zapcore.WarnLevel,
+		"The platform's store does not answer this process. What it said last stays in force; `proof_age` is how old that is.")
+	StoreRegained = register(2102, "store_regained", zapcore.InfoLevel,
+		"The platform's store answers this process again.")
+	StoreTrimmed = register(2103, "store_trimmed", zapcore.InfoLevel,
+		"Records were deleted before they were read; the newest of each key are read instead.")
+	ConfigurationInForce = register(2104, "configuration_in_force", zapcore.InfoLevel,
+		"A configuration is in force on this process from now on. `source` is the store or the peer that it came from.")
+	ConfigurationUnreadable = register(2105, "configuration_unreadable", zapcore.ErrorLevel,
+		"A value of the configuration store can't be read; what was in force before stays in force.")
+	VersionNamed = register(2106, "version_named", zapcore.InfoLevel,
+		"Operators named a new version of a model's weights.")
+	ListChanged = register(2107, "list_changed", zapcore.InfoLevel,
+		"Endpoints appeared, left or changed their state in the list; the fields name them.")
+	EntryUnreadable = register(2108, "entry_unreadable", zapcore.WarnLevel,
+		"An entry of the list names no endpoint, because it can't be read. It is not used; the others hold.")
+	EndpointChanged = register(2109, "endpoint_changed", zapcore.InfoLevel,
+		"A sidecar told of another version, start or switch of its endpoint.")
+	PeerFound = register(2110, "peer_found", zapcore.InfoLevel,
+		"Another entry was heard for the first time, or again.")
+	PeerLost = register(2111, "peer_lost", zapcore.WarnLevel,
+		"Another entry was not heard for some time.")
+)
+
 // Events about requests.
 var (
 	RouteChosen = register(3001, "route_chosen", zapcore.InfoLevel,
@@ -76,6 +114,8 @@
 		"An endpoint answered with another request's identity or another version. The connection was closed and nothing was passed on.")
 	EndpointEjected = register(3012, "endpoint_ejected", zapcore.WarnLevel,
 		"An endpoint failed repeatedly and gets no requests for a while.")
+	AttemptFailed = register(3013, "attempt_failed", zapcore.InfoLevel,
+		"An attempt at an endpoint has no answer to pass on. `may_have_run` says whether the endpoint may have run it, `cause` what was seen.")
 )
 
 // Events about requests that crash endpoints.
@@ -138,4 +178,8 @@
 		"A control stream to an entry ended; it is opened again.")
 	ListUnavailable = register(5006, "list_unavailable", zapcore.WarnLevel,
 		"The platform's list of instances did not answer; the last one is used.")
+	EndpointLost = register(5007, "endpoint_lost", zapcore.WarnLevel,
+		"The sidecar can't read its endpoint's report.")
+	EndpointRegained = register(5008, "endpoint_regained", zapcore.InfoLevel,
+		"The sidecar reads its endpoint's report again.")
 )
--- a/internal/monitor/monitor.go
+++ b/internal/monitor/monitor.go
@@ -45,3 +45,27 @@
 	defer cancel()
 	_ = server.ShutdownWithContext(ctx)
 }
+
+// PathText is where ServeText serves.
+const PathText = "/metrics"
+
+// ServeText serves the counters on address until ctx ends, one name and value a
+// line.
+func ServeText(ctx context.Context, address string, counters *expvar.Map) error {
+	lis, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "metrics address")
+	}
+	server := &fasthttp.Server{NoDefaultServerHeader: true, Handler: func(rc *fasthttp.RequestCtx) {
+		if string(rc.Path()) != PathText {
+			rc.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		rc.SetContentType("text/plain; charset=utf-8")
+		counters.Do(func(kv expvar.KeyValue) {
+			_, _ = fmt.Fprintf(rc, "%s %s\n", kv.Key, kv.Value)
+		})
+	}}
+	defer context.AfterFunc(ctx, func() { shutDown(server) })()
+	return eris.Wrap(server.Serve(lis), "serve metrics")
+}
--- /dev/null
+++ b/internal/stager/fetch.go
@@ -0,0 +1,298 @@
+package stager
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"storj.io/drpc"
+
+	"flamingoledge.org/flamingoledge/internal/logger"
+	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/internal/pauser"
+	"flamingoledge.org/flamingoledge/internal/transferrer"
+	"flamingoledge.org/flamingoledge/pkg/assembler"
+	"flamingoledge.org/flamingoledge/pkg/chunker"
+	"flamingoledge.org/flamingoledge/pkg/planner"
+	"flamingoledge.org/flamingoledge/pkg/ranker"
+	"flamingoledge.org/flamingoledge/platform"
+)
+
+const (
+	// originRanks bounds the copies that the origin sends when instances fail, and
+	// neighbors how many are asked in the own region.
+	originRanks = 3
+	neighbors   = 6
+	// peerWindow and totalWindow keep a link of a few Mbit/s busy without a long
+	// queue before live requests: a chunk takes some tens of milliseconds.
+	peerWindow   = 2
+	originWindow = 2
+	totalWindow  = 6
+	// takeoverAfter is how long no chunk may come before the next rank fetches
+	// what another one should have brought.
+	takeoverAfter = 600 * time.Millisecond
+	// chunkTimeout is how long a source may deliver nothing.
+	chunkTimeout = time.Second
+	// originTimeout bounds one read of the origin, whose link all share.
+	originTimeout = 4 * time.Second
+	// settleTime is how long neighbours have to tell what they hold.
+	settleTime = 500 * time.Millisecond
+	// manifestRanks is how many instances read the manifest from the origin, and
+	// manifestPause the wait between tries to get it.
+	manifestRanks   = 2
+	manifestPause   = 60 * time.Millisecond
+	manifestTimeout = 1500 * time.Millisecond
+	// manifestTakeover is how long the first ranks have before any instance asks
+	// the origin.
+	manifestTakeover = 1500 * time.Millisecond
+	fetchRetryWait   = 200 * time.Millisecond
+)
+
+// fetch is the fetching of one version.
+type fetch struct {
+	stager  *Stager
+	model   string
+	version uint64
+	name    string
+	plan    Plan
+	cancel  context.CancelFunc
+	// adopt says that the endpoint has the version loaded, so that its staged
+	// chunks are read for others and nothing is fetched.
+	adopt  bool
+	settle time.Duration
+
+	mu       sync.Mutex
+	members  []planner.Member
+	held     *assembler.Assembly
+	transfer *transferrer.Transfer
+	done     bool
+}
+
+func (s *Stager) newFetch(ctx context.Context, now time.Time, p Plan, adopt bool) *fetch {
+	ctx, cancel := context.WithCancel(ctx)
+	f := &fetch{
+		stager: s, model: p.Model, version: p.Version, name: versionName(p.Model, p.Version), plan: p,
+		cancel: cancel, adopt: adopt, members: p.Members,
+	}
+	if now.Sub(p.NamedAt) > adoptAfter {
+		f.settle = settleTime
+	}
+	logger.Log(s.cfg.Logger, logger.RolloutStarted, zap.String("model", p.Model), zap.Uint64("version", p.Version),
+		zap.Duration("named_age", now.Sub(p.NamedAt)), zap.Bool("adopt", adopt), zap.Int("members", len(p.Members)))
+	go f.run(ctx)
+	return f
+}
+
+func (f *fetch) isComplete() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.done
+}
+
+func (f *fetch) assembly() *assembler.Assembly {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.held
+}
+
+func (f *fetch) setMembers(ms []planner.Member) {
+	f.mu.Lock()
+	f.members = ms
+	t := f.transfer
+	f.mu.Unlock()
+	if t != nil {
+		t.SetMembers(ms)
+	}
+}
+
+func (f *fetch) currentMembers() []planner.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members
+}
+
+// run fetches until every chunk is held.
+func (f *fetch) run(ctx context.Context) {
+	began := f.stager.cfg.Clock()
+	for ctx.Err() == nil {
+		err := f.try(ctx)
+		if err == nil {
+			logger.Log(f.stager.cfg.Logger, logger.ChunksComplete, zap.Uint64("version", f.version),
+				zap.Bool("adopted", f.adopt), zap.Duration("taken", f.stager.cfg.Clock().Sub(began)))
+			return
+		}
+		if ctx.Err() == nil {
+			logger.Log(f.stager.cfg.Logger, logger.OriginUnavailable, zap.Uint64("version", f.version), zap.Error(err))
+		}
+		pauser.Pause(ctx, fetchRetryWait)
+	}
+}
+
+func (f *fetch) try(ctx context.Context) error {
+	a := f.assembly()
+	if a == nil {
+		m, err := f.manifest(ctx)
+		if err != nil {
+			return err
+		}
+		a = assembler.New(f.name, m)
+		f.takeStaged(ctx, a)
+		f.stager.cfg.Store.Put(a)
+		f.mu.Lock()
+		f.held = a
+		f.mu.Unlock()
+	}
+	if f.adopt && !a.Complete() {
+		return nil
+	}
+	if err := f.transferAll(ctx, a); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.done = true
+	f.mu.Unlock()
+	return nil
+}
+
+// takeStaged reads the chunks that lie at the endpoint already, as after a restart
+// of this process.
+func (f *fetch) takeStaged(ctx context.Context, a *assembler.Assembly) {
+	taken := 0
+	for i := range a.Manifest().Chunks {
+		if ctx.Err() != nil {
+			return
+		}
+		data, err := f.stager.cfg.Endpoint.Staged(f.model, i)
+		if err != nil {
+			// Nothing lies there, or nobody answers; the chunk is fetched.
+			if i == taken {
+				return
+			}
+			continue
+		}
+		if _, err = a.Put(i, data); err == nil {
+			taken++
+		}
+	}
+}
+
+func (f *fetch) transferAll(ctx context.Context, a *assembler.Assembly) error {
+	if a.Complete() {
+		return nil
+	}
+	s := f.stager
+	origin := platform.NewOrigin(f.plan.Origin)
+	t := transferrer.New(transferrer.Config{
+		Assembly: a,
+		Planner: planner.Config{
+			Self:          s.cfg.Self,
+			VersionDigest: f.name,
+			Chunks:        len(a.Manifest().Chunks),
+			OriginRegion:  f.plan.OriginRegion,
+			OriginRanks:   originRanks,
+			EagerRanks:    1,
+			Neighbors:     neighbors,
+			PeerWindow:    peerWindow,
+			OriginWindow:  originWindow,
+			TotalWindow:   totalWindow,
+			SettleTime:    f.settle,
+			TakeoverAfter: takeoverAfter,
+			ChunkTimeout:  chunkTimeout,
+			Rand:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		},
+		Members: f.currentMembers(),
+		Dial: func(ctx context.Context, instance string) (drpc.Conn, error) {
+			return s.cfg.Dialer.Dial(ctx, instance)
+		},
+		Origin:        &originReader{origin: origin, named: platform.NamedVersion{Model: f.model, Version: f.version}, chunkBytes: a.Manifest().ChunkBytes},
+		OriginTimeout: originTimeout,
+		Down:          s.cfg.Down,
+		Submit:        func(task func()) error { go task(); return nil },
+		Logger:        s.cfg.Logger,
+	})
+	f.mu.Lock()
+	f.transfer = t
+	f.mu.Unlock()
+	_, err := t.Run(ctx)
+	return err
+}
+
+// originReader reads chunks of one version by their offset.
+type originReader struct {
+	origin     *platform.Origin
+	named      platform.NamedVersion
+	chunkBytes int
+}
+
+// ReadAt implements transferrer.Origin.
+func (o *originReader) ReadAt(ctx context.Context, _ string, offset int64, buf []byte) error {
+	data, err := o.origin.Chunk(ctx, o.named, int(offset/int64(o.chunkBytes)))
+	if err != nil {
+		return err
+	}
+	if len(data) != len(buf) {
+		return eris.Errorf("the origin sent %d bytes of %d", len(data), len(buf))
+	}
+	copy(buf, data)
+	return nil
+}
+
+// manifest gets the manifest: the first ranks from the origin, the others from
+// them, and from the origin too when that takes long.
+func (f *fetch) manifest(ctx context.Context) (m chunker.Manifest, err error) {
+	ranked := ranker.Top(f.name, names(f.currentMembers()), manifestRanks+1)
+	first := f.stager.cfg.Clock()
+	own := slices.Index(ranked, f.stager.cfg.Self.Instance)
+	for ctx.Err() == nil {
+		waited := f.stager.cfg.Clock().Sub(first)
+		if own == 0 && f.settle == 0 || own >= 0 && own < manifestRanks && waited > f.settle || waited > manifestTakeover {
+			if m, err = f.originManifest(ctx); err == nil {
+				return m, nil
+			}
+		}
+		for _, peer := range ranked {
+			if peer == f.stager.cfg.Self.Instance {
+				continue
+			}
+			if m, err = f.peerManifest(ctx, peer); err == nil {
+				return m, nil
+			}
+		}
+		pauser.Pause(ctx, manifestPause)
+	}
+	return m, ctx.Err()
+}
+
+func names(ms []planner.Member) []string {
+	out := make([]string, len(ms))
+	for i, m := range ms {
+		out[i] = m.Instance
+	}
+	return out
+}
+
+func (f *fetch) originManifest(ctx context.Context) (chunker.Manifest, error) {
+	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	defer cancel()
+	return platform.NewOrigin(f.plan.Origin).Manifest(ctx, platform.NamedVersion{Model: f.model, Version: f.version}, f.plan.Chunks)
+}
+
+// peerManifest asks another sidecar.
+func (f *fetch) peerManifest(ctx context.Context, peer string) (m chunker.Manifest, err error) {
+	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	defer cancel()
+	conn, err := f.stager.cfg.Dialer.Dial(ctx, peer)
+	if err != nil {
+		return m, err
+	}
+	defer func() { _ = conn.Close() }()
+	reply, err := messenger.NewDRPCTransferClient(conn).Manifest(ctx, &messenger.ManifestRequest{VersionDigest: f.name})
+	if err != nil {
+		return m, err
+	}
+	return chunker.ParseManifest(reply.GetData(), chunker.Digest(reply.GetData()))
+}
--- a/internal/transferrer/server.go
+++ b/internal/transferrer/server.go
@@ -16,6 +16,8 @@
 const (
 	// gainInterval is how often new chunks are told to a peer.
 	gainInterval = 10 * time.Millisecond
+	// awaitVersion is how long a peer waits for a version that is not held yet.
+	awaitVersion = 2 * time.Second
 	// maxQueuedRequests bounds what one peer may have asked for.
 	maxQueuedRequests = 1024
 )
@@ -35,7 +37,9 @@
 	if err != nil {
 		return eris.Wrap(err, "transfer hello")
 	}
-	a := s.Store.Get(hello.GetVersionDigest())
+	// An instance that learned of the version a little later begins to fetch it
+	// soon; a refused peer would try again much later.
+	a := s.Store.Await(stream.Context(), hello.GetVersionDigest(), awaitVersion)
 	if a == nil {
 		return eris.Errorf("version %s is not held here", hello.GetVersionDigest())
 	}
--- a/internal/transferrer/store.go
+++ b/internal/transferrer/store.go
@@ -3,8 +3,11 @@
 package transferrer
 
 import (
+	"context"
 	"sync"
+	"time"
 
+	"flamingoledge.org/flamingoledge/internal/notifier"
 	"flamingoledge.org/flamingoledge/pkg/assembler"
 )
 
@@ -13,6 +16,7 @@
 type Store struct {
 	mu         sync.RWMutex
 	assemblies map[string]*assembler.Assembly
+	added      notifier.Notifier
 }
 
 // NewStore returns an empty store.
@@ -25,9 +29,28 @@
 	return s.assemblies[versionDigest]
 }
 
+// Await returns the assembly of a version, which may come within a time; nil if it
+// does not.
+func (s *Store) Await(ctx context.Context, versionDigest string, wait time.Duration) *assembler.Assembly {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		added := s.added.Wait()
+		if a := s.Get(versionDigest); a != nil {
+			return a
+		}
+		select {
+		case <-added:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // Put adds an assembly. Chunks that others share with it are taken over; it
 // returns how many.
 func (s *Store) Put(a *assembler.Assembly) (reused int) {
+	defer s.added.Notify()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, other := range s.assemblies {
--- a/internal/transferrer/transfer.go
+++ b/internal/transferrer/transfer.go
@@ -13,7 +13,6 @@
 	"flamingoledge.org/flamingoledge/pkg/chunker"
 	"flamingoledge.org/flamingoledge/pkg/pacer"
 	"flamingoledge.org/flamingoledge/pkg/planner"
-	"flamingoledge.org/flamingoledge/pkg/provider"
 )
 
 const (
@@ -35,7 +34,7 @@
 	// Members is the first list of members; SetMembers renews it.
 	Members []planner.Member
 	Dial    Dialer
-	Origin  provider.Origin
+	Origin  Origin
 	// OriginTimeout bounds one read of the origin.
 	OriginTimeout time.Duration
 	// Down paces what is asked for, Across what is asked of other regions; nil
@@ -47,6 +46,12 @@
 	Logger *zap.Logger
 }
 
+// Origin reads the origin of weights.
+type Origin interface {
+	// ReadAt fills buf with the bytes at offset of the weights named by digest.
+	ReadAt(ctx context.Context, digest string, offset int64, buf []byte) error
+}
+
 // Stats says where the chunks of a transfer came from.
 type Stats struct {
 	FromOrigin      int
--- /dev/null
+++ b/pkg/balancer/balancer.go
@@ -0,0 +1,309 @@
+// Package balancer decides where a request starts, whether it waits and when it
+// is refused, for one service and one of several entries that share its
+// endpoints.
+//
+// The load it answers is a burst above what the endpoints can do. A request that
+// an engine has no place for waits inside it for as long as another one takes,
+// so that everything becomes late at once. Requests therefore wait here, for a
+// place and only as long as a start is still useful, and the rest is refused at
+// once with the time at which to come back.
+package balancer
+
+import (
+	"slices"
+	"time"
+)
+
+// Config configures a Balancer.
+type Config struct {
+	// Region is where this process runs; endpoints elsewhere cost
+	// RemotePenalty, in shares of an endpoint's capacity.
+	Region        string
+	RemotePenalty float64
+	// MaxWaiting bounds the requests that wait.
+	MaxWaiting int
+	// Sharers is how many processes send to the endpoints.
+	Sharers int
+}
+
+// Endpoint is what is known of an endpoint apart from its load.
+type Endpoint struct {
+	ID      string
+	Address string
+	Region  string
+	Slots   int
+	// Ready says that it may get new work: it is not leaving and holds what the
+	// service needs.
+	Ready bool
+	// Version is what it has loaded; 0 where there are no versions.
+	Version uint64
+}
+
+// Load is what an endpoint or an instance beside it told of its load.
+type Load struct {
+	Running int
+	Queued  int
+	// Pace is 1 at the usual speed and more for a slow endpoint; 0 is not told.
+	Pace float64
+}
+
+// Request asks for a place.
+type Request struct {
+	ID        uint64
+	Workspace string
+	// Priority ranks requests; 0 is the most urgent.
+	Priority int
+	// StartBy is the last moment at which a start is useful.
+	StartBy time.Time
+	// Late says that the request can't meet its objective any more, as when it
+	// was refused before.
+	Late bool
+	// Exclude are endpoints that were tried.
+	Exclude []string
+	// Version is the only one that may run it; 0 for any.
+	Version uint64
+	// Random breaks ties between endpoints.
+	Random uint64
+}
+
+// Outcome is what becomes of a request.
+type Outcome string
+
+// Outcomes of a request.
+const (
+	OutcomeStarted Outcome = "started"
+	OutcomeQueued  Outcome = "queued"
+	// OutcomeBusy means that no place is free in time.
+	OutcomeBusy Outcome = "busy"
+	// OutcomeNoEndpoint means that no endpoint may run the request at all.
+	OutcomeNoEndpoint Outcome = "no_endpoint"
+)
+
+// Decision says what becomes of a request, and from what that was decided.
+type Decision struct {
+	ID       uint64
+	Outcome  Outcome
+	Endpoint Endpoint
+	// Load and LoadAge are what the endpoint was chosen by.
+	Load    float64
+	LoadAge time.Duration
+	Waiting int
+	// RetryAfter is when a refused request may find a place.
+	RetryAfter time.Duration
+}
+
+const (
+	// retryLeast and retryMost bound what refused callers are told. Callers wait
+	// up to a third of the time that they have left, which is a few seconds.
+	retryLeast = 250 * time.Millisecond
+	retryMost  = 2 * time.Second
+	// rateWindow is the time over which starts are counted; some requests begin
+	// and end in it on each endpoint.
+	rateWindow = 2 * time.Second
+)
+
+type waiter struct {
+	request Request
+	since   time.Time
+}
+
+// Balancer is the state of one service. It has one owner at a time.
+type Balancer struct {
+	cfg     Config
+	members map[string]*member
+	order   []*member
+	waiting []waiter
+	// starts are the moments of recent starts, from which the rate is known.
+	starts []time.Time
+}
+
+// New returns a balancer without endpoints.
+func New(cfg Config) *Balancer {
+	return &Balancer{cfg: cfg, members: map[string]*member{}}
+}
+
+// Waiting returns how many requests wait.
+func (b *Balancer) Waiting() int { return len(b.waiting) }
+
+// InFlight returns how many requests of this process are at the endpoints.
+func (b *Balancer) InFlight() (n int) {
+	for _, m := range b.order {
+		n += m.own
+	}
+	return n
+}
+
+// SetSharers tells how many processes send to the endpoints.
+func (b *Balancer) SetSharers(n int) { b.cfg.Sharers = max(n, 1) }
+
+// SetEndpoints takes the present endpoints. Counters of those known before are
+// carried on. It returns the waiting requests that start now.
+func (b *Balancer) SetEndpoints(now time.Time, endpoints []Endpoint) []Decision {
+	kept := make(map[string]*member, len(endpoints))
+	b.order = b.order[:0]
+	for _, e := range endpoints {
+		m := b.members[e.ID]
+		if m == nil {
+			m = &member{}
+		}
+		if m.Address != e.Address {
+			m.restart()
+		}
+		m.Endpoint = e
+		kept[e.ID] = m
+		b.order = append(b.order, m)
+	}
+	b.members = kept
+	return b.startWaiting(now)
+}
+
+// Report takes the load of an endpoint as it was at a moment. It returns the
+// waiting requests that start now.
+func (b *Balancer) Report(now, at time.Time, id string, l Load) []Decision {
+	m := b.members[id]
+	if m == nil {
+		return nil
+	}
+	m.report(at, l)
+	return b.startWaiting(now)
+}
+
+// Offer takes a request. With OutcomeQueued its ID comes out of a later call,
+// unless it is abandoned first.
+func (b *Balancer) Offer(now time.Time, r Request) Decision {
+	if b.mustQueue(r) {
+		return b.queue(now, r)
+	}
+	if m := b.pick(now, r); m != nil {
+		return b.start(now, r, m)
+	}
+	if !b.hasCandidate(now, r) {
+		return Decision{ID: r.ID, Outcome: OutcomeNoEndpoint, RetryAfter: b.retryAfter(now)}
+	}
+	return b.queue(now, r)
+}
+
+// mustQueue tells whether requests that go before r wait already.
+func (b *Balancer) mustQueue(r Request) bool {
+	return len(b.waiting) > 0 && !before(r, b.waiting[0].request)
+}
+
+// before orders waiting requests: those that can be in time, the more urgent
+// ones, those that have to start first.
+func before(a, b Request) bool {
+	switch {
+	case a.Late != b.Late:
+		return !a.Late
+	case a.Priority != b.Priority:
+		return a.Priority < b.Priority
+	case !a.StartBy.Equal(b.StartBy):
+		return a.StartBy.Before(b.StartBy)
+	default:
+		return a.ID < b.ID
+	}
+}
+
+// queue lets a request wait if a place is expected in time.
+func (b *Balancer) queue(now time.Time, r Request) Decision {
+	at, _ := slices.BinarySearchFunc(b.waiting, r, func(w waiter, r Request) int {
+		if before(w.request, r) {
+			return -1
+		}
+		return 1
+	})
+	busy := Decision{ID: r.ID, Outcome: OutcomeBusy, Waiting: len(b.waiting), RetryAfter: b.retryAfter(now)}
+	if !now.Before(r.StartBy) || len(b.waiting) >= b.cfg.MaxWaiting || now.Add(b.expectedWait(now, at)).After(r.StartBy) {
+		return busy
+	}
+	b.waiting = slices.Insert(b.waiting, at, waiter{request: r, since: now})
+	return Decision{ID: r.ID, Outcome: OutcomeQueued, Waiting: len(b.waiting)}
+}
+
+// expectedWait estimates when a request with some before it starts, by the rate
+// of recent starts. Without any it is not known and 0.
+func (b *Balancer) expectedWait(now time.Time, ahead int) time.Duration {
+	n := b.recentStarts(now)
+	if n == 0 {
+		return 0
+	}
+	return time.Duration(ahead+1) * rateWindow / time.Duration(n)
+}
+
+func (b *Balancer) recentStarts(now time.Time) int {
+	old := now.Add(-rateWindow)
+	i := 0
+	for i < len(b.starts) && b.starts[i].Before(old) {
+		i++
+	}
+	b.starts = b.starts[i:]
+	return len(b.starts)
+}
+
+// retryAfter is the time in which the endpoints work off what waits and half of
+// what is running.
+func (b *Balancer) retryAfter(now time.Time) time.Duration {
+	wait := b.expectedWait(now, len(b.waiting)+b.InFlight()/2)
+	return min(max(wait, retryLeast), retryMost)
+}
+
+func (b *Balancer) start(now time.Time, r Request, m *member) Decision {
+	d := Decision{
+		ID: r.ID, Outcome: OutcomeStarted, Endpoint: m.Endpoint,
+		Load: m.load(now, b.cfg.Sharers), LoadAge: now.Sub(m.reportedAt), Waiting: len(b.waiting),
+	}
+	m.begin(now)
+	b.starts = append(b.starts, now)
+	return d
+}
+
+// startWaiting starts the waiting requests that there is a place for, in their
+// order.
+func (b *Balancer) startWaiting(now time.Time) (started []Decision) {
+	for i := 0; i < len(b.waiting); {
+		r := b.waiting[i].request
+		m := b.pick(now, r)
+		if m == nil {
+			if len(r.Exclude) == 0 && r.Version == 0 {
+				break
+			}
+			// This one may not go where the others may.
+			i++
+			continue
+		}
+		b.waiting = slices.Delete(b.waiting, i, i+1)
+		started = append(started, b.start(now, r, m))
+	}
+	return started
+}
+
+// Expire refuses the waiting requests whose last useful start is over.
+func (b *Balancer) Expire(now time.Time) (refused []Decision) {
+	b.waiting = slices.DeleteFunc(b.waiting, func(w waiter) bool {
+		if now.Before(w.request.StartBy) {
+			return false
+		}
+		refused = append(refused, Decision{ID: w.request.ID, Outcome: OutcomeBusy, Waiting: len(b.waiting)})
+		return true
+	})
+	for i := range refused {
+		refused[i].RetryAfter = b.retryAfter(now)
+	}
+	return refused
+}
+
+// Abandon takes a waiting request out, as when its caller is gone. It returns
+// false if the request does not wait.
+func (b *Balancer) Abandon(id uint64) bool {
+	n := len(b.waiting)
+	b.waiting = slices.DeleteFunc(b.waiting, func(w waiter) bool { return w.request.ID == id })
+	return len(b.waiting) < n
+}
+
+// Ended records the end of a request at an endpoint. It returns the waiting
+// requests that start now.
+func (b *Balancer) Ended(now time.Time, id string, r Result) []Decision {
+	if m := b.members[id]; m != nil {
+		m.end(now, r)
+	}
+	return b.startWaiting(now)
+}
--- /dev/null
+++ b/pkg/balancer/member.go
@@ -0,0 +1,180 @@
+package balancer
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+)
+
+// Result is how a request ended at an endpoint.
+type Result int
+
+// Results.
+const (
+	// ResultAnswered means that the endpoint gave an answer.
+	ResultAnswered Result = iota
+	// ResultFailed means that it failed the request.
+	ResultFailed
+	// ResultLost means that the connection broke.
+	ResultLost
+	// ResultUnreachable means that no connection could be opened.
+	ResultUnreachable
+	// ResultRefused means that it had no place or was not the one meant.
+	ResultRefused
+	// ResultLeft means that the caller left, which says nothing of the endpoint.
+	ResultLeft
+)
+
+const (
+	// staleAfter is the age from which a report says nothing any more; reports
+	// come several times a second.
+	staleAfter = 1500 * time.Millisecond
+	// pauseLeast doubles with each failure up to pauseMost. A crashed endpoint
+	// is back after some seconds.
+	pauseLeast = 400 * time.Millisecond
+	pauseMost  = 3 * time.Second
+	// failuresToPause in a row are no chance: some requests fail by themselves.
+	failuresToPause = 4
+	lossesToPause   = 2
+	// refusedPause is how long an endpoint that had no place is passed over;
+	// about one request ends there meanwhile.
+	refusedPause = 100 * time.Millisecond
+	// maxRecent bounds the remembered starts of an endpoint.
+	maxRecent = 64
+)
+
+// member is an endpoint with what this process knows of its load and health.
+type member struct {
+	Endpoint
+	// own counts the requests of this process that are there.
+	own int
+	// recent are the moments of the latest own starts.
+	recent []time.Time
+	// others counts the requests of other processes at the last report.
+	others     int
+	reportedAt time.Time
+	pace       float64
+
+	failures    int
+	losses      int
+	pauses      int
+	pausedUntil time.Time
+}
+
+// restart forgets the load and health of an earlier start.
+func (m *member) restart() {
+	*m = member{own: m.own}
+}
+
+// report takes a load measured at a moment. Own requests that started after it
+// are not part of it.
+func (m *member) report(at time.Time, l Load) {
+	if at.Before(m.reportedAt) {
+		return
+	}
+	m.reportedAt = at
+	if l.Pace > 0 {
+		m.pace = l.Pace
+	}
+	since := 0
+	for _, t := range m.recent {
+		if t.After(at) {
+			since++
+		}
+	}
+	m.others = max(l.Running+l.Queued-max(m.own-since, 0), 0)
+}
+
+// load estimates how many requests are at the endpoint.
+func (m *member) load(now time.Time, sharers int) float64 {
+	if now.Sub(m.reportedAt) < staleAfter {
+		return float64(m.own + m.others)
+	}
+	// Without a report, the others are taken to send as much as this process.
+	return float64(m.own * max(sharers, 1))
+}
+
+// capacity is how many requests the endpoint runs well at a time.
+func (m *member) capacity() float64 {
+	return float64(m.Slots) / max(m.pace, 1)
+}
+
+func (m *member) begin(now time.Time) {
+	m.own++
+	m.recent = append(m.recent, now)
+	if len(m.recent) > maxRecent {
+		m.recent = slices.Delete(m.recent, 0, len(m.recent)-maxRecent)
+	}
+}
+
+func (m *member) end(now time.Time, r Result) {
+	m.own = max(m.own-1, 0)
+	switch r {
+	case ResultAnswered:
+		m.failures, m.losses, m.pauses = 0, 0, 0
+		m.pausedUntil = time.Time{}
+	case ResultFailed:
+		m.losses = 0
+		if m.failures++; m.failures >= failuresToPause {
+			m.pause(now)
+		}
+	case ResultLost:
+		if m.losses++; m.losses >= lossesToPause {
+			m.pause(now)
+		}
+	case ResultUnreachable:
+		m.pause(now)
+	case ResultRefused:
+		m.pausedUntil = now.Add(refusedPause)
+	case ResultLeft:
+	}
+}
+
+// pause keeps new requests away for a while, longer each time.
+func (m *member) pause(now time.Time) {
+	m.pausedUntil = now.Add(min(pauseLeast<<min(m.pauses, 8), pauseMost))
+	m.pauses++
+	m.failures, m.losses = 0, 0
+}
+
+// isTrial tells whether the endpoint's pause is over and no request has shown
+// yet that it is well, so that one at a time is enough.
+func (m *member) isTrial() bool { return m.pauses > 0 }
+
+func (m *member) mayRun(r Request) bool {
+	return m.Ready && (r.Version == 0 || m.Version == r.Version) && !slices.Contains(r.Exclude, m.ID)
+}
+
+// hasCandidate tells whether any endpoint may run the request, now or later.
+func (b *Balancer) hasCandidate(now time.Time, r Request) bool {
+	for _, m := range b.order {
+		if m.mayRun(r) && (r.StartBy.After(m.pausedUntil) || now.After(m.pausedUntil)) {
+			return true
+		}
+	}
+	return false
+}
+
+// pick returns the endpoint with the most room, nil if none has a place.
+func (b *Balancer) pick(now time.Time, r Request) (best *member) {
+	bestCost := 0.0
+	random := r.Random
+	for _, m := range b.order {
+		if !m.mayRun(r) || now.Before(m.pausedUntil) || (m.isTrial() && m.own > 0) {
+			continue
+		}
+		load, capacity := m.load(now, b.cfg.Sharers), m.capacity()
+		if load+1 > capacity && load > 0 {
+			continue
+		}
+		random = bits.RotateLeft64(random, 17)*0x9e3779b97f4a7c15 + 1
+		cost := (load + float64(random>>40)/(1<<24)) / capacity
+		if m.Region != b.cfg.Region {
+			cost += b.cfg.RemotePenalty
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = m, cost
+		}
+	}
+	return best
+}
--- a/pkg/planner/next.go
+++ b/pkg/planner/next.go
@@ -28,6 +28,9 @@
 // planOutside starts the fetches that bring chunks into the region, first,
 // because every other instance of the region waits for them.
 func (p *Planner) planOutside(now time.Time, fs []Fetch) []Fetch {
+	if now.Before(p.settledAt) {
+		return fs
+	}
 	for _, i := range p.outside {
 		if p.held.Has(i) || p.busy.Has(i) || !p.mayFetchOutside(now, i) {
 			continue
@@ -40,11 +43,10 @@
 }
 
 func (p *Planner) outsideSource(now time.Time, i int) (Fetch, bool) {
-	if p.paths[i].rank > 0 && p.copies[i] > 0 {
-		// Another instance holds the chunk by now, so it need not come in twice.
-		if p.heldInRegion(i) {
-			return Fetch{}, false
-		}
+	// What an instance of the region holds need not come in again, unless those
+	// that hold it deliver nothing.
+	if p.copies[i] > 0 && p.heldInRegion(i) && (p.paths[i].rank > 0 || now.Sub(p.lastProgress) < p.cfg.TakeoverAfter) {
+		return Fetch{}, false
 	}
 	for _, u := range p.usableUpstreams(now, i) {
 		if pr := p.peers[u]; pr != nil && pr.held.Has(i) && p.usable(now, pr) {
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -43,6 +43,10 @@
 	OriginWindow int
 	// TotalWindow bounds all outstanding chunks.
 	TotalWindow int
+	// SettleTime is how long after the start nothing is fetched from outside the
+	// region, so that neighbours can tell what they hold. It is for versions that
+	// others may hold already.
+	SettleTime time.Duration
 	// TakeoverAfter is how long a rank must see no progress at all before it
 	// takes over from the one before it.
 	TakeoverAfter time.Duration
@@ -127,6 +131,8 @@
 	cfg Config
 	// lastProgress is when a chunk last arrived, at first the start.
 	lastProgress time.Time
+	// settledAt is when fetches from outside the region begin.
+	settledAt time.Time
 
 	members  []Member
 	byRegion map[string][]string
@@ -168,6 +174,7 @@
 	return &Planner{
 		cfg:          cfg,
 		lastProgress: now,
+		settledAt:    now.Add(cfg.SettleTime),
 		peers:        map[string]*peer{},
 		held:         held.Clone(),
 		count:        held.Len(),
--- /dev/null
+++ b/pkg/registrar/registrar.go
@@ -0,0 +1,161 @@
+// Package registrar keeps the list of endpoints that the platform's store gives.
+// Entries that lapse around an outage of the store are kept until their owners
+// had time to register again.
+package registrar
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Endpoint is one start of an endpoint as it registered itself.
+type Endpoint struct {
+	ID               string
+	Service          string
+	Address          string
+	AvailabilityZone string
+	Slots            int
+	Draining         bool
+	// Born is the Unix millisecond of the start; 0 if it was not told.
+	Born int64
+	// Held are the models that it has loaded.
+	Held []HeldModel
+}
+
+// HeldModel is a model in an endpoint's memory.
+type HeldModel struct {
+	Model   string
+	Version uint64
+}
+
+// graceAfterOutage is how long after the store's return an endpoint may be
+// missing: the store's operators promise new entries within about 2 s.
+const graceAfterOutage = 2200 * time.Millisecond
+
+// List is the endpoints known now. It is immutable; the zero value is empty.
+type List struct {
+	endpoints map[string]Endpoint
+	// lapsed are the entries that the store dropped around an outage, with the
+	// time until which they are still believed.
+	lapsed map[string]time.Time
+	// outageEnd is when the store last came back, away that it is away now.
+	outageEnd time.Time
+	away      bool
+}
+
+// All returns the endpoints in the order of their IDs.
+func (l List) All() []Endpoint {
+	es := make([]Endpoint, 0, len(l.endpoints))
+	for _, id := range slices.Sorted(maps.Keys(l.endpoints)) {
+		es = append(es, l.endpoints[id])
+	}
+	return es
+}
+
+// Len returns how many endpoints there are.
+func (l List) Len() int { return len(l.endpoints) }
+
+// Get returns an endpoint by its ID.
+func (l List) Get(id string) (Endpoint, bool) {
+	e, ok := l.endpoints[id]
+	return e, ok
+}
+
+// WithStoreAway returns the list after the store stopped answering.
+func (l List) WithStoreAway() List {
+	l.away = true
+	return l
+}
+
+// WithStoreBack returns the list after the store answered again. Without an
+// outage before, it changes nothing.
+func (l List) WithStoreBack(now time.Time) List {
+	if !l.away {
+		return l
+	}
+	l.away, l.outageEnd = false, now
+	l.lapsed = maps.Clone(l.lapsed)
+	for id := range l.lapsed {
+		l.lapsed[id] = now.Add(graceAfterOutage)
+	}
+	return l
+}
+
+// WithEntry returns the list with an entry added or replaced. An older start
+// never replaces a newer one.
+func (l List) WithEntry(e Endpoint) List {
+	if old, ok := l.endpoints[e.ID]; ok && e.Born != 0 && old.Born > e.Born {
+		return l
+	}
+	l.endpoints = cloned(l.endpoints)
+	l.endpoints[e.ID] = e
+	if _, ok := l.lapsed[e.ID]; ok {
+		l.lapsed = maps.Clone(l.lapsed)
+		delete(l.lapsed, e.ID)
+	}
+	return l
+}
+
+// WithoutEntry returns the list after the store dropped an entry. An endpoint
+// that was leaving is gone at once; another one is kept for a while if the store
+// was away.
+func (l List) WithoutEntry(now time.Time, id string) List {
+	old, ok := l.endpoints[id]
+	if !ok {
+		return l
+	}
+	if !old.Draining && (l.away || now.Sub(l.outageEnd) < graceAfterOutage) {
+		l.lapsed = cloned(l.lapsed)
+		l.lapsed[id] = now.Add(graceAfterOutage)
+		return l
+	}
+	return l.without(id)
+}
+
+// WithTime returns the list without the lapsed entries whose time is over. While
+// the store is away none is dropped.
+func (l List) WithTime(now time.Time) List {
+	if l.away {
+		return l
+	}
+	for id, till := range l.lapsed {
+		if !now.Before(till) {
+			l = l.without(id)
+		}
+	}
+	return l
+}
+
+// WithSnapshot returns the list after a complete reading of the store: what is
+// not in it has been dropped.
+func (l List) WithSnapshot(now time.Time, entries []Endpoint) List {
+	present := make(map[string]struct{}, len(entries))
+	for _, e := range entries {
+		present[e.ID] = struct{}{}
+		l = l.WithEntry(e)
+	}
+	for id := range l.endpoints {
+		if _, ok := present[id]; !ok {
+			if _, waits := l.lapsed[id]; !waits {
+				l = l.WithoutEntry(now, id)
+			}
+		}
+	}
+	return l
+}
+
+func (l List) without(id string) List {
+	l.endpoints = cloned(l.endpoints)
+	delete(l.endpoints, id)
+	l.lapsed = cloned(l.lapsed)
+	delete(l.lapsed, id)
+	return l
+}
+
+func cloned[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return map[K]V{}
+	}
+	return maps.Clone(m)
+}
--- /dev/null
+++ b/pkg/switcher/switcher.go
@@ -0,0 +1,142 @@
+// Package switcher decides when an endpoint loads another version of its model.
+//
+// The load it answers is a full one: an endpoint that switches finishes what it
+// runs, loads and starts empty, which costs about a request's length of its work.
+// When all endpoints do so at once nothing is served, so each takes its turn in
+// the time that operators allow, by its place in an order that all compute alike.
+package switcher
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"flamingoledge.org/flamingoledge/pkg/ranker"
+)
+
+// Named is a version that operators named, with the time at which that was
+// learned.
+type Named struct {
+	Version uint64
+	At      time.Time
+}
+
+// Member is an endpoint of the service by the address of its instance.
+type Member struct {
+	Address string
+	Region  string
+}
+
+// State is what an endpoint's next load is decided by.
+type State struct {
+	Self    string
+	Members []Member
+	// Named are the versions in the order of their naming.
+	Named []Named
+	// Loaded is the version that the endpoint serves; 0 for none.
+	Loaded uint64
+	// Loading says that an order is under way.
+	Loading bool
+	// Complete are the versions of which every chunk is at hand.
+	Complete []uint64
+	// Bound is the time from a naming after which older versions may not begin.
+	Bound time.Duration
+	// CopyTime is how long a whole version takes over the endpoint's link.
+	CopyTime time.Duration
+}
+
+const (
+	// firstShare and lastShare of the bound are the first and the last turn. The
+	// first is after the fastest instances have every chunk; the last leaves time
+	// for a lost order, its repeat and the news of it.
+	firstShare = 0.35
+	lastShare  = 0.80
+	// copyMargin times the copy time is how long a version takes to arrive while
+	// others fetch it too.
+	copyMargin = 1.6
+)
+
+// Next returns the version to load now; false if there is nothing to load yet.
+func Next(now time.Time, s State) (uint64, bool) {
+	if s.Loading || len(s.Named) == 0 || len(s.Complete) == 0 {
+		return 0, false
+	}
+	newest := s.Named[len(s.Named)-1]
+	best := slices.Max(s.Complete)
+	if best <= s.Loaded {
+		return 0, false
+	}
+	if s.Loaded == 0 {
+		// Any version that may still begin is better than none.
+		return best, best >= newest.Version || now.Before(newest.At.Add(s.Bound))
+	}
+	// The first version that replaces the loaded one sets the time: from its
+	// bound on, the loaded one may not begin any request.
+	first := s.firstAfterLoaded(newest)
+	if now.Before(turn(s, first)) {
+		return 0, false
+	}
+	if best < newest.Version && now.Add(s.remaining()).Before(first.At.Add(time.Duration(lastShare*float64(s.Bound)))) {
+		// The newest one will be here in time, so that one switch is enough.
+		return 0, false
+	}
+	return best, true
+}
+
+func (s State) firstAfterLoaded(newest Named) Named {
+	for _, n := range s.Named {
+		if n.Version > s.Loaded {
+			return n
+		}
+	}
+	return newest
+}
+
+func (s State) remaining() time.Duration {
+	return time.Duration(copyMargin * float64(s.CopyTime))
+}
+
+// turn is the moment from which the endpoint may load a version. The turns are
+// spread evenly, and those of one region lie apart.
+func turn(s State, n Named) time.Time {
+	order := Order(s.Members, n.Version)
+	place := slices.Index(order, s.Self)
+	if place < 0 || len(order) < 2 {
+		return n.At
+	}
+	share := firstShare + (lastShare-firstShare)*float64(place)/float64(len(order)-1)
+	return n.At.Add(time.Duration(share * float64(s.Bound)))
+}
+
+// Order returns the addresses of the members in the order of their turns for a
+// version: round the regions, within a region by rendezvous rank.
+func Order(members []Member, version uint64) []string {
+	byRegion := map[string][]string{}
+	var regions []string
+	for _, m := range members {
+		if byRegion[m.Region] == nil {
+			regions = append(regions, m.Region)
+		}
+		byRegion[m.Region] = append(byRegion[m.Region], m.Address)
+	}
+	type place struct {
+		address string
+		at      float64
+	}
+	var places []place
+	slices.Sort(regions)
+	for k, r := range regions {
+		ranked := ranker.Top(strconv.FormatUint(version, 10), byRegion[r], len(byRegion[r]))
+		for i, address := range ranked {
+			offset := float64(k) / float64(len(regions))
+			places = append(places, place{address: address, at: (float64(i) + offset) / float64(len(ranked))})
+		}
+	}
+	slices.SortStableFunc(places, func(a, b place) int { return cmp.Compare(a.at, b.at) })
+	order := make([]string, len(places))
+	for i, p := range places {
+		order[i] = p.address
+	}
+	return order
+}
