Hold each named version to its own bound, finish an older transfer first

Transfers began only when the endpoint answered (1 s lost on each new instance), the first of two versions was thrown away at 3/4 of its copy, and the origin's backoff of up to 10 s outlasted its outage by 13 s. Ruled out: links (a copy took 2.9 s of 2.6 s).

--- a/internal/agentserver/server.go
+++ b/internal/agentserver/server.go
@@ -149,6 +149,7 @@
 				logger.Log(s.cfg.Logger, logger.EndpointLost, zap.String("endpoint", s.cfg.Settings.EndpointAddress), zap.Error(err))
 			}
 			failing = true
+			s.stager.Prepare(ctx, s.cfg.Clock())
 			continue
 		}
 		if failing {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -126,9 +126,7 @@
 		r.Late = true
 		r.StartBy = now.Add(min(lateWait, c.answerBy.Sub(now)/4))
 	}
-	if r.Version == 0 && c.engine != nil {
-		r.Version = f.requiredVersion(c, now)
-	}
+	r.LeastVersion = f.leastVersion(c, now)
 	return r
 }
 
@@ -139,19 +137,20 @@
 // versionMargin is how long before the bound older versions get no new requests:
 // a request may wait in the endpoint for about as long as another one takes, and
 // processes learn of a version one after the other.
-const versionMargin = 1500 * time.Millisecond
+const versionMargin = 1200 * time.Millisecond
 
-// requiredVersion is the newest version of the call's model once older ones may
-// not begin any more, else 0.
-func (f *Forwarder) requiredVersion(c *call, now time.Time) uint64 {
-	if f.cfg.Bounds.Version <= 0 {
+// leastVersion is the version of the call's model before which none may begin any
+// more; 0 if all may.
+func (f *Forwarder) leastVersion(c *call, now time.Time) (least uint64) {
+	if f.cfg.Bounds.Version <= 0 || c.engine == nil {
 		return 0
 	}
-	v, ok := f.cfg.Beliefs().Versions[c.Model]
-	if !ok || now.Sub(v.LearnedAt) < f.cfg.Bounds.Version-versionMargin {
-		return 0
+	for _, v := range f.cfg.Beliefs().Versions[c.Model] {
+		if now.Sub(v.LearnedAt) >= f.cfg.Bounds.Version-versionMargin {
+			least = max(least, v.Version)
+		}
 	}
-	return v.Version
+	return least
 }
 
 // send sends a call to an endpoint and reads its answer as far as needed to know
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -23,8 +23,8 @@
 	// ProvenAt is the latest moment at which the configuration is known to have
 	// been the newest one.
 	ProvenAt time.Time
-	// Versions are the newest named versions by model.
-	Versions map[string]Version
+	// Versions are the named versions by model, in the order of their naming.
+	Versions map[string][]Version
 	// Entries is how many entries share the load and the retry budget.
 	Entries int
 }
--- a/internal/gatewayserver/configuration.go
+++ b/internal/gatewayserver/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -68,16 +69,22 @@
 	if err != nil {
 		return c, []controller.Action{note(logger.ConfigurationUnreadable, zap.String("key", v.Key), zap.String("source", source), zap.Error(err))}
 	}
-	if named.Version <= c.versions[named.Model].Version {
+	if named.Version <= c.newest(named.Model).Version {
 		return c, nil
 	}
+	known := slices.Clone(c.versions[named.Model])
+	known = known[max(len(known)-keptVersions+1, 0):]
 	c.versions = cloned(c.versions)
-	c.versions[named.Model] = forwarder.Version{Version: named.Version, LearnedAt: now}
+	c.versions[named.Model] = append(known, forwarder.Version{Version: named.Version, LearnedAt: now})
 	c = c.withValue(v)
 	return c, []controller.Action{note(logger.VersionNamed,
 		zap.String("model", named.Model), zap.Uint64("version", named.Version), zap.String("source", source))}
 }
 
+// keptVersions is how many named versions of a model are remembered: those whose
+// bound may not be over yet.
+const keptVersions = 8
+
 func (c config) withValue(v platform.Value) config {
 	c.values = cloned(c.values)
 	c.values[v.Key] = v
--- a/internal/gatewayserver/endpoints.go
+++ b/internal/gatewayserver/endpoints.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"flamingoledge.org/flamingoledge/internal/forwarder"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/pkg/balancer"
 	"flamingoledge.org/flamingoledge/pkg/controller"
@@ -44,6 +45,7 @@
 	}
 	if digest := listDigest(s.list.endpoints); digest != s.list.digest {
 		s.list.digest = digest
+		s.list = s.list.withHeld(now)
 		actions = append(actions, listChange(before, s.list.endpoints), endpointsChanged{})
 	}
 	return s, actions
@@ -86,6 +88,20 @@
 	return l, actions
 }
 
+// withHeld notes the newest versions that endpoints hold. They are wanted for
+// models of which operators have named none.
+func (l list) withHeld(now time.Time) list {
+	for _, e := range l.endpoints.All() {
+		for _, m := range e.Held {
+			if m.Version > l.held[m.Model].Version {
+				l.held = cloned(l.held)
+				l.held[m.Model] = forwarder.Version{Version: m.Version, LearnedAt: now}
+			}
+		}
+	}
+	return l
+}
+
 func listChange(before, after registrar.List) logLine {
 	var added, left, draining []string
 	for _, e := range after.All() {
--- a/internal/gatewayserver/relay.go
+++ b/internal/gatewayserver/relay.go
@@ -176,18 +176,11 @@
 	}
 	now := s.cfg.Clock()
 	for _, model := range e.Models {
-		named, ok := v.config.versions[model]
-		wanted := &messenger.NamedVersion{Model: model, Version: named.Version, AgeMs: ageMillis(now, named.LearnedAt)}
-		if !ok {
-			wanted.AgeMs = 0
-			for _, one := range v.list.endpoints.All() {
-				for _, m := range one.Held {
-					if m.Model == model {
-						wanted.Version = max(wanted.Version, m.Version)
-					}
-				}
-			}
+		named := v.config.newest(model)
+		if named.Version == 0 {
+			named = v.list.held[model]
 		}
+		wanted := &messenger.NamedVersion{Model: model, Version: named.Version, AgeMs: ageMillis(now, named.LearnedAt)}
 		if wanted.Version > 0 {
 			reply.Versions = append(reply.Versions, wanted)
 			h := xxhash.New()
--- a/internal/gatewayserver/state.go
+++ b/internal/gatewayserver/state.go
@@ -30,7 +30,7 @@
 // config is what operators wrote, and how fresh it is.
 type config struct {
 	table    *resolver.Table
-	versions map[string]forwarder.Version
+	versions map[string][]forwarder.Version
 	// values are the store's values that it was made from, to hand on.
 	values   map[string]platform.Value
 	digest   uint64
@@ -44,6 +44,8 @@
 	known     bool
 	digest    uint64
 	provenAt  time.Time
+	// held are the newest versions that endpoints hold, by model.
+	held map[string]forwarder.Version
 }
 
 // peer is another entry.
@@ -117,13 +119,21 @@
 	return c.table.Configuration().Version
 }
 
-func configDigest(version uint64, versions map[string]forwarder.Version) uint64 {
+// newest is the newest named version of a model; the zero value if there is none.
+func (c *config) newest(model string) forwarder.Version {
+	if vs := c.versions[model]; len(vs) > 0 {
+		return vs[len(vs)-1]
+	}
+	return forwarder.Version{}
+}
+
+func configDigest(version uint64, versions map[string][]forwarder.Version) uint64 {
 	h := xxhash.New()
 	write := func(n uint64) { _, _ = h.Write(binary.BigEndian.AppendUint64(nil, n)) }
 	write(version)
 	for _, m := range slices.Sorted(maps.Keys(versions)) {
 		_, _ = h.WriteString(m)
-		write(versions[m].Version)
+		write(versions[m][len(versions[m])-1].Version)
 	}
 	return h.Sum64()
 }
--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -37,6 +37,9 @@
 	takeoverAfter = 600 * time.Millisecond
 	// chunkTimeout is how long a source may deliver nothing.
 	chunkTimeout = time.Second
+	// originBackoff bounds the pause after failures of the origin. Everything waits
+	// for it when it returns, and a refused connection costs next to nothing.
+	originBackoff = 700 * time.Millisecond
 	// originTimeout bounds one read of the origin, whose link all share.
 	originTimeout = 4 * time.Second
 	// settleTime is how long neighbours have to tell what they hold.
@@ -200,6 +203,7 @@
 			OriginWindow:  originWindow,
 			TotalWindow:   totalWindow,
 			SettleTime:    f.settle,
+			OriginBackoff: originBackoff,
 			TakeoverAfter: takeoverAfter,
 			ChunkTimeout:  chunkTimeout,
 			Rand:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -233,26 +233,45 @@
 	return out
 }
 
-// startFetch fetches the wanted version. An older one that is not complete is
-// given up; one that is complete stays until a newer one is loaded.
+// Prepare begins to fetch while the endpoint does not answer yet, as on a new
+// instance. It waits until the version is known for a while: an endpoint that
+// starts with the others may hold the version already.
+func (s *Stager) Prepare(ctx context.Context, now time.Time) {
+	if s.plan.Version != 0 && now.Sub(s.plan.NamedAt) > adoptAfter && len(s.fetches) == 0 {
+		s.startFetch(ctx, now, 0)
+	}
+}
+
+// startFetch fetches the wanted version. An older one that is under way goes
+// first, unless it has only begun: what has left the origin is not thrown away,
+// and the endpoint needs a version that may still begin.
 func (s *Stager) startFetch(ctx context.Context, now time.Time, loaded uint64) {
 	if s.fetches[s.plan.Version] != nil {
 		return
 	}
 	for v, f := range s.fetches {
 		switch {
-		case !f.isComplete() && v != loaded:
+		case v < loaded:
 			f.cancel()
+			s.cfg.Store.Drop(f.name)
 			delete(s.fetches, v)
-		case v < loaded:
+		case f.isComplete() || f.adopt:
+		case s.plan.NamedAt.Sub(f.plan.NamedAt) < time.Duration(begunShare*float64(s.copyTime())),
+			now.Sub(f.plan.NamedAt) > s.cfg.VersionBound:
 			f.cancel()
 			s.cfg.Store.Drop(f.name)
 			delete(s.fetches, v)
+		default:
+			return
 		}
 	}
 	s.fetches[s.plan.Version] = s.newFetch(ctx, now, s.plan, loaded == s.plan.Version)
 }
 
+// begunShare of a copy's time is how far an older version must have come to go
+// first.
+const begunShare = 0.5
+
 // versionName names a version among the sidecars.
 func versionName(model string, version uint64) string {
 	return model + "@" + strconv.FormatUint(version, 10)
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -60,8 +60,10 @@
 	Late bool
 	// Exclude are endpoints that were tried.
 	Exclude []string
-	// Version is the only one that may run it; 0 for any.
-	Version uint64
+	// Version is the only one that may run it; 0 for any. None before
+	// LeastVersion may.
+	Version      uint64
+	LeastVersion uint64
 	// Random breaks ties between endpoints.
 	Random uint64
 }
@@ -263,7 +265,7 @@
 		r := b.waiting[i].request
 		m := b.pick(now, r)
 		if m == nil {
-			if len(r.Exclude) == 0 && r.Version == 0 {
+			if len(r.Exclude) == 0 && r.Version == 0 && r.LeastVersion == 0 {
 				break
 			}
 			// This one may not go where the others may.
--- a/pkg/balancer/member.go
+++ b/pkg/balancer/member.go
@@ -142,7 +142,7 @@
 func (m *member) isTrial() bool { return m.pauses > 0 }
 
 func (m *member) mayRun(r Request) bool {
-	return m.Ready && (r.Version == 0 || m.Version == r.Version) && !slices.Contains(r.Exclude, m.ID)
+	return m.Ready && (r.Version == 0 || m.Version == r.Version) && m.Version >= r.LeastVersion && !slices.Contains(r.Exclude, m.ID)
 }
 
 // hasCandidate tells whether any endpoint may run the request, now or later.
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -50,6 +50,9 @@
 	// TakeoverAfter is how long a rank must see no progress at all before it
 	// takes over from the one before it.
 	TakeoverAfter time.Duration
+	// OriginBackoff bounds the pause after failures of the origin; 0 is
+	// defaultOriginBackoff.
+	OriginBackoff time.Duration
 	// ChunkTimeout is how long a source may deliver nothing before what is
 	// outstanding there is hedged.
 	ChunkTimeout time.Duration
@@ -86,8 +89,8 @@
 	maxInFlightPerChunk = 2
 	// slowPenalty is how long a peer that let a fetch time out gets no more.
 	slowPenalty = 2 * time.Second
-	// originBackoffMax bounds the pause after failures of the origin.
-	originBackoffMax = 10 * time.Second
+	// defaultOriginBackoff bounds the pause after failures of the origin.
+	defaultOriginBackoff = 10 * time.Second
 	// originBackoffBase is the ceiling of the first pause.
 	originBackoffBase = 200 * time.Millisecond
 )
@@ -264,7 +267,11 @@
 
 // pauseOrigin backs off with full jitter.
 func (p *Planner) pauseOrigin(now time.Time) {
-	ceiling := min(originBackoffBase<<min(p.originFailures, 10), originBackoffMax)
+	most := p.cfg.OriginBackoff
+	if most <= 0 {
+		most = defaultOriginBackoff
+	}
+	ceiling := min(originBackoffBase<<min(p.originFailures, 10), most)
 	p.originFailures++
 	p.originPause = now.Add(time.Duration(p.cfg.Rand.Int64N(int64(ceiling))))
 }
