Share free places between entries, and count prompts that wait to be read

Free places are split by the number of entries, a place of an own request is reused without asking, starts need time for the prompts before them.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -15,6 +15,7 @@
 	"flamingoledge.org/flamingoledge/internal/exchanger"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/pkg/balancer"
+	"flamingoledge.org/flamingoledge/pkg/predictor"
 	"flamingoledge.org/flamingoledge/pkg/resolver"
 	"flamingoledge.org/flamingoledge/pkg/retrier"
 )
@@ -23,6 +24,7 @@
 // read.
 type attempt struct {
 	gate     *gate
+	request  uint64
 	endpoint balancer.Endpoint
 	answer   *exchanger.Answer
 	// body is a whole answer, events the stream of one that is passed on as it
@@ -94,7 +96,7 @@
 	if d.Outcome == balancer.OutcomeStarted {
 		// What held when the request came may have changed while it waited.
 		if p := f.mayStart(c, f.cfg.Beliefs()); p != nil {
-			g.ended(now, d.Endpoint.ID, balancer.ResultLeft)
+			g.ended(now, d.Endpoint.ID, d.ID, balancer.ResultLeft)
 			return d, p
 		}
 		return d, nil
@@ -121,7 +123,12 @@
 	if c.workspace != nil {
 		r.Workspace = c.workspace.Name
 	}
-	r.StartBy = c.began.Add(c.route.Objective - f.paces.expected(c))
+	r.First = f.paces.expected(c)
+	r.FirstBy = c.began.Add(c.route.Objective)
+	r.StartBy = r.FirstBy.Add(-r.First)
+	if c.engine != nil {
+		r.Read = predictor.Read(c.engine, c.prompt())
+	}
 	if !r.StartBy.After(now) {
 		r.Late = true
 		r.StartBy = now.Add(min(lateWait, c.answerBy.Sub(now)/4))
@@ -156,7 +163,7 @@
 // send sends a call to an endpoint and reads its answer as far as needed to know
 // that it can be passed on.
 func (f *Forwarder) send(c *call, d balancer.Decision) (a *attempt, fail *failure) {
-	a = &attempt{gate: f.gates.of(c.service), endpoint: d.Endpoint}
+	a = &attempt{gate: f.gates.of(c.service), request: d.ID, endpoint: d.Endpoint}
 	now := f.cfg.Clock()
 	c.endpoint, c.sentAt = d.Endpoint.ID, now
 	if c.engine != nil && c.weights == 0 {
@@ -192,7 +199,9 @@
 		answer.Close()
 		return a, fail
 	}
-	f.paces.note(c, f.cfg.Clock().Sub(now))
+	began := f.cfg.Clock()
+	f.paces.note(c, began.Sub(now))
+	a.gate.began(began, a.endpoint.ID, a.request)
 	return a, nil
 }
 
@@ -303,7 +312,7 @@
 	if a.answer != nil {
 		a.answer.Close()
 	}
-	a.gate.ended(f.cfg.Clock(), a.endpoint.ID, r)
+	a.gate.ended(f.cfg.Clock(), a.endpoint.ID, a.request, r)
 }
 
 // noteFailure ends a failed attempt and keeps what it means for the call.
@@ -318,7 +327,7 @@
 		// It has not run anywhere, so any version may run it.
 		c.weights = 0
 	}
-	f.gates.of(c.service).ended(f.cfg.Clock(), d.Endpoint.ID, fail.result)
+	f.gates.of(c.service).ended(f.cfg.Clock(), d.Endpoint.ID, d.ID, fail.result)
 	f.cfg.Metrics.Add("attempts_failed", 1)
 	logger.Log(f.cfg.Logger, logger.AttemptFailed, append(f.describe(c),
 		zap.Bool("may_have_run", fail.mayHaveRun), zap.String("cause", fail.Error()))...)
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -158,6 +158,14 @@
 // isStream tells whether the answer is passed on event by event.
 func (c *call) isStream() bool { return c.route.Kind == resolver.KindStreaming }
 
+// prompt is the number of the prompt's tokens, the usual one if it is not told.
+func (c *call) prompt() int {
+	if c.Prompt > 0 || c.engine == nil {
+		return c.Prompt
+	}
+	return c.engine.UsualPrompt
+}
+
 // priority is the workspace's, or else the route's.
 func (c *call) priority() int {
 	if c.workspace != nil && c.workspace.HasPriority {
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -81,7 +82,7 @@
 			if !g.abandon(r.ID) {
 				d = <-ch
 				if d.Outcome == balancer.OutcomeStarted {
-					g.ended(clock(), d.Endpoint.ID, balancer.ResultLeft)
+					g.ended(clock(), d.Endpoint.ID, r.ID, balancer.ResultLeft)
 				}
 			}
 			return d, ctx.Err()
@@ -108,16 +109,22 @@
 	return true
 }
 
-func (g *gate) ended(now time.Time, endpoint string, r balancer.Result) {
+func (g *gate) began(now time.Time, endpoint string, request uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.deliver(g.balancer.Ended(now, endpoint, r))
+	g.deliver(g.balancer.Began(now, endpoint, request))
+}
+
+func (g *gate) ended(now time.Time, endpoint string, request uint64, r balancer.Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.balancer.Ended(now, endpoint, request, r))
 }
 
 func (g *gate) report(now, at time.Time, endpoint string, l balancer.Load) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.deliver(g.balancer.Report(now, at, endpoint, l))
+	g.deliver(g.balancer.Report(now, at, endpoint, l, rand.Uint64()))
 }
 
 func (g *gate) setEndpoints(now time.Time, endpoints []balancer.Endpoint) {
--- a/internal/forwarder/paces.go
+++ b/internal/forwarder/paces.go
@@ -14,8 +14,11 @@
 	// plainFirst is what the first byte of a plain service is taken to need until
 	// it was measured.
 	plainFirst = 20 * time.Millisecond
-	// errorMargin times the mean error is added to an expected time.
-	errorMargin = 1.5
+	// errorMargin times the mean error is added to an expected time. Waiting less
+	// loses nothing at full load, because places are taken all the same, and what
+	// starts has more time left; twice to three times the error serves most in
+	// the replayed loads.
+	errorMargin = 2.5
 )
 
 // paces learns how long it takes from the send to the first byte or event, by
@@ -68,11 +71,7 @@
 	if c.engine == nil {
 		return plainFirst
 	}
-	prompt := c.Prompt
-	if prompt == 0 {
-		prompt = c.engine.UsualPrompt
-	}
-	return predictor.FirstPiece(c.engine, c.engine.Slots, prompt)
+	return predictor.FirstPiece(c.engine, c.engine.Slots, 0, c.prompt())
 }
 
 // latencies are histograms of the time from a request to its whole answer, by
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -7,6 +7,11 @@
 // so that everything becomes late at once. Requests therefore wait here, for a
 // place and only as long as a start is still useful, and the rest is refused at
 // once with the time at which to come back.
+//
+// The second load is an engine that has just loaded and is empty: it has a place
+// for everything that waits, but reads prompts one after the other. Prompts that
+// are sent and not read yet are counted, so that a request goes where its first
+// piece comes in time.
 package balancer
 
 import (
@@ -55,6 +60,12 @@
 	Priority int
 	// StartBy is the last moment at which a start is useful.
 	StartBy time.Time
+	// FirstBy is when the first piece of the answer should come, and First how
+	// long it takes from the start where no other prompt waits to be read. Read
+	// is the part of it that reads the prompt; 0 for plain services.
+	FirstBy time.Time
+	First   time.Duration
+	Read    time.Duration
 	// Late says that the request can't meet its objective any more, as when it
 	// was refused before.
 	Late bool
@@ -159,14 +170,14 @@
 	return b.startWaiting(now)
 }
 
-// Report takes the load of an endpoint as it was at a moment. It returns the
-// waiting requests that start now.
-func (b *Balancer) Report(now, at time.Time, id string, l Load) []Decision {
+// Report takes the load of an endpoint as it was at a moment. random spreads free
+// places over the processes. It returns the waiting requests that start now.
+func (b *Balancer) Report(now, at time.Time, id string, l Load, random uint64) []Decision {
 	m := b.members[id]
 	if m == nil {
 		return nil
 	}
-	m.report(at, l)
+	m.report(at, l, b.cfg.Sharers, random)
 	return b.startWaiting(now)
 }
 
@@ -253,7 +264,7 @@
 		ID: r.ID, Outcome: OutcomeStarted, Endpoint: m.Endpoint,
 		Load: m.load(now, b.cfg.Sharers), LoadAge: now.Sub(m.reportedAt), Waiting: len(b.waiting),
 	}
-	m.begin(now)
+	m.begin(now, r)
 	b.starts = append(b.starts, now)
 	return d
 }
@@ -301,10 +312,20 @@
 	return len(b.waiting) < n
 }
 
+// Began records that the first piece of a request's answer came, so that its
+// prompt is read. It returns the waiting requests that start now.
+func (b *Balancer) Began(now time.Time, id string, request uint64) []Decision {
+	if m := b.members[id]; m != nil {
+		m.read(request)
+	}
+	return b.startWaiting(now)
+}
+
 // Ended records the end of a request at an endpoint. It returns the waiting
 // requests that start now.
-func (b *Balancer) Ended(now time.Time, id string, r Result) []Decision {
+func (b *Balancer) Ended(now time.Time, id string, request uint64, r Result) []Decision {
 	if m := b.members[id]; m != nil {
+		m.read(request)
 		m.end(now, r)
 	}
 	return b.startWaiting(now)
--- a/pkg/balancer/member.go
+++ b/pkg/balancer/member.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"math"
 	"math/bits"
 	"slices"
 	"time"
@@ -39,6 +40,21 @@
 	// refusedPause is how long an endpoint that had no place is passed over;
 	// about one request ends there meanwhile.
 	refusedPause = 100 * time.Millisecond
+	// pendingMost is how long a prompt counts as not read; one that takes longer
+	// waits for a place and not for the reader.
+	pendingMost = time.Second
+	// freshFor is how long a start that a report showed counts as one whose
+	// prompt is not read: a pass and the way of the report.
+	freshFor = 150 * time.Millisecond
+	// backlogMost bounds the reading that one pass holds, which the running
+	// requests see as a pause.
+	backlogMost = 280 * time.Millisecond
+	// backlogCost is what a second of waiting prompts adds to an endpoint's cost,
+	// in shares of its capacity.
+	backlogCost = 2.0
+	// ownShare times its even share of backlogMost is what one process may send
+	// that is not read yet, as the others can't see it.
+	ownShare = 1.5
 	// maxRecent bounds the remembered starts of an endpoint.
 	maxRecent = 64
 )
@@ -50,8 +66,15 @@
 	own int
 	// recent are the moments of the latest own starts.
 	recent []time.Time
+	// pending are the own requests whose prompt is not read yet.
+	pending []pending
+	// fresh counts the starts of other processes that the last reports showed.
+	fresh   int
+	freshAt time.Time
 	// others counts the requests of other processes at the last report.
-	others     int
+	others int
+	// limit is how many own requests may be there until the next report.
+	limit      int
 	reportedAt time.Time
 	pace       float64
 
@@ -61,6 +84,13 @@
 	pausedUntil time.Time
 }
 
+// pending is a prompt that waits to be read.
+type pending struct {
+	request uint64
+	since   time.Time
+	read    time.Duration
+}
+
 // restart forgets the load and health of an earlier start.
 func (m *member) restart() {
 	*m = member{own: m.own}
@@ -68,7 +98,7 @@
 
 // report takes a load measured at a moment. Own requests that started after it
 // are not part of it.
-func (m *member) report(at time.Time, l Load) {
+func (m *member) report(at time.Time, l Load, sharers int, random uint64) {
 	if at.Before(m.reportedAt) {
 		return
 	}
@@ -82,7 +112,63 @@
 			since++
 		}
 	}
-	m.others = max(l.Running+l.Queued-max(m.own-since, 0), 0)
+	others := max(l.Running+l.Queued-max(m.own-since, 0), 0)
+	if at.Sub(m.freshAt) > freshFor {
+		m.fresh = 0
+	}
+	if others > m.others {
+		m.fresh += others - m.others
+		m.freshAt = at
+	}
+	m.others = others
+	m.share(sharers, random)
+}
+
+// share sets how many own requests the endpoint may get until the next report.
+// What is free is split over the processes, for all see it at the same time; a
+// place that an own request leaves is taken again without asking.
+func (m *member) share(sharers int, random uint64) {
+	total := float64(m.own + m.others)
+	free := m.capacity() - total
+	if free <= 0 {
+		m.limit = m.own
+		if total > 0 {
+			m.limit = m.own + int(math.Floor(free*float64(m.own)/total))
+		}
+		return
+	}
+	part := free / float64(max(sharers, 1))
+	m.limit = m.own + int(part)
+	if float64(random>>11)/(1<<53) < part-math.Floor(part) {
+		m.limit++
+	}
+}
+
+// mayTake tells whether the endpoint may get one more own request.
+func (m *member) mayTake(now time.Time, sharers int) bool {
+	if now.Sub(m.reportedAt) < staleAfter {
+		return m.own < m.limit
+	}
+	return float64(m.own) < max(m.capacity()/float64(max(sharers, 1)), 1)
+}
+
+// backlog is how long the engine takes to read the prompts that wait there. read
+// is the time of a usual one.
+func (m *member) backlog(now time.Time, read time.Duration) (sum time.Duration) {
+	for _, p := range m.pending {
+		if now.Sub(p.since) < pendingMost {
+			sum += p.read
+		}
+	}
+	if now.Sub(m.freshAt) < freshFor {
+		sum += time.Duration(m.fresh) * read
+	}
+	return sum
+}
+
+// read forgets a prompt that was read.
+func (m *member) read(request uint64) {
+	m.pending = slices.DeleteFunc(m.pending, func(p pending) bool { return p.request == request })
 }
 
 // load estimates how many requests are at the endpoint.
@@ -99,8 +185,11 @@
 	return float64(m.Slots) / max(m.pace, 1)
 }
 
-func (m *member) begin(now time.Time) {
+func (m *member) begin(now time.Time, r Request) {
 	m.own++
+	if r.Read > 0 {
+		m.pending = append(m.pending, pending{request: r.ID, since: now, read: r.Read})
+	}
 	m.recent = append(m.recent, now)
 	if len(m.recent) > maxRecent {
 		m.recent = slices.Delete(m.recent, 0, len(m.recent)-maxRecent)
@@ -155,6 +244,22 @@
 	return false
 }
 
+// isReadInTime tells whether an engine comes to a request's prompt in time, and
+// without a pause for those that it runs.
+func (b *Balancer) isReadInTime(now time.Time, m *member, r Request, backlog time.Duration) bool {
+	if r.Read == 0 || len(m.pending) == 0 && backlog == 0 {
+		return true
+	}
+	if backlog+r.Read > backlogMost || (!r.Late && now.Add(r.First+backlog).After(r.FirstBy)) {
+		return false
+	}
+	var own time.Duration
+	for _, p := range m.pending {
+		own += p.read
+	}
+	return own == 0 || own+r.Read <= time.Duration(ownShare*float64(backlogMost)/float64(max(b.cfg.Sharers, 1)))
+}
+
 // pick returns the endpoint with the most room, nil if none has a place.
 func (b *Balancer) pick(now time.Time, r Request) (best *member) {
 	bestCost := 0.0
@@ -163,12 +268,16 @@
 		if !m.mayRun(r) || now.Before(m.pausedUntil) || (m.isTrial() && m.own > 0) {
 			continue
 		}
-		load, capacity := m.load(now, b.cfg.Sharers), m.capacity()
-		if load+1 > capacity && load > 0 {
+		if !m.mayTake(now, b.cfg.Sharers) {
 			continue
 		}
+		load, capacity := m.load(now, b.cfg.Sharers), m.capacity()
 		random = bits.RotateLeft64(random, 17)*0x9e3779b97f4a7c15 + 1
-		cost := (load + float64(random>>40)/(1<<24)) / capacity
+		backlog := m.backlog(now, r.Read)
+		if !b.isReadInTime(now, m, r, backlog) {
+			continue
+		}
+		cost := (load+float64(random>>40)/(1<<24))/capacity + backlogCost*backlog.Seconds()
 		if m.Region != b.cfg.Region {
 			cost += b.cfg.RemotePenalty
 		}
--- /dev/null
+++ b/pkg/balancer/replay_test.go
@@ -0,0 +1,302 @@
+package balancer_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/pkg/balancer"
+	"flamingoledge.org/flamingoledge/pkg/predictor"
+	"flamingoledge.org/flamingoledge/pkg/resolver"
+)
+
+// figures are those of a batching engine of the size that deployments run.
+var figures = resolver.Engine{
+	Slots: 16, Stride: 5, Step: 9270 * time.Microsecond, StepPerRequest: 23 * time.Microsecond,
+	StepPerContext: 32 * time.Microsecond, ReadPerSecond: 20700, ReadPairs: 1180 * time.Microsecond,
+	UsualPrompt: 979, UsualAnswer: 92,
+}
+
+// load is a load that is replayed against engines in virtual time.
+type load struct {
+	engines int
+	entries int
+	// perSecond is the rate of requests, burst times it between from and till.
+	perSecond  float64
+	burst      float64
+	from, till time.Duration
+	// emptyUntil is when that share of the engines becomes ready, all at once.
+	emptyShare float64
+	emptyUntil time.Duration
+	length     time.Duration
+}
+
+// outcome counts what became of the requests.
+type outcome struct {
+	asked, inTime, late, refused int
+}
+
+func (o outcome) String() string {
+	return fmt.Sprintf("asked %d, in time %d, late %d, refused %d", o.asked, o.inTime, o.late, o.refused)
+}
+
+// worth counts a late answer as a quarter.
+func (o outcome) worth() float64 {
+	return (float64(o.inTime) + float64(o.late)/4) / float64(o.asked)
+}
+
+const (
+	objective = 450 * time.Millisecond
+	reportLag = 100 * time.Millisecond
+	// firstMargin is for what varies, as the forwarder learns it.
+	firstMargin = 160 * time.Millisecond
+)
+
+// replay plays a load. naive sends at once to the engine with the fewest own
+// requests, up to a limit, which is what is compared with.
+type replay struct {
+	load    load
+	naive   int
+	now     time.Duration
+	events  events
+	engines []*predictor.Engine
+	active  []bool
+	entries []*balancer.Balancer
+	own     [][]int
+	calls   map[uint64]*call
+	rng     *rand.Rand
+	result  outcome
+	start   time.Time
+}
+
+type call struct {
+	entry, engine int
+	arrived       time.Duration
+	prompt        int
+	answer        int
+}
+
+type event struct {
+	at time.Duration
+	do func()
+}
+
+type events []event
+
+func (h events) Len() int           { return len(h) }
+func (h events) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h events) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)        { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+func play(l load, naive int) outcome {
+	r := &replay{
+		load: l, naive: naive, calls: map[uint64]*call{}, rng: rand.New(rand.NewPCG(1, 2)),
+		active: make([]bool, l.engines), start: time.Unix(1000, 0),
+	}
+	for range l.engines {
+		r.engines = append(r.engines, predictor.NewEngine(&figures))
+	}
+	for range l.entries {
+		r.entries = append(r.entries, balancer.New(balancer.Config{Region: "r", MaxWaiting: 500, Sharers: l.entries}))
+		r.own = append(r.own, make([]int, l.engines))
+	}
+	r.setEndpoints()
+	if l.emptyShare > 0 {
+		r.at(l.emptyUntil, r.setEndpoints)
+	}
+	r.at(0, r.arrive)
+	r.at(reportLag, r.report)
+	for len(r.events) > 0 {
+		e := heap.Pop(&r.events).(event)
+		r.now = e.at
+		e.do()
+	}
+	return r.result
+}
+
+func (r *replay) at(d time.Duration, do func()) { heap.Push(&r.events, event{at: d, do: do}) }
+
+func (r *replay) time() time.Time { return r.start.Add(r.now) }
+
+func (r *replay) isReady(engine int) bool {
+	return r.now >= r.load.emptyUntil || engine >= int(float64(r.load.engines)*r.load.emptyShare)
+}
+
+func (r *replay) setEndpoints() {
+	for k, b := range r.entries {
+		var es []balancer.Endpoint
+		for i := range r.engines {
+			es = append(es, balancer.Endpoint{ID: fmt.Sprint(i), Address: fmt.Sprint(i), Region: "r", Slots: figures.Slots, Ready: r.isReady(i), Version: 1})
+		}
+		r.started(k, b.SetEndpoints(r.time(), es))
+	}
+}
+
+func (r *replay) arrive() {
+	rate := r.load.perSecond
+	if r.now >= r.load.from && r.now < r.load.till {
+		rate *= r.load.burst
+	}
+	if r.now < r.load.length {
+		r.at(r.now+time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), r.arrive)
+	}
+	id := uint64(len(r.calls) + 1)
+	c := &call{
+		entry: r.rng.IntN(r.load.entries), arrived: r.now,
+		prompt: 200 + int(r.rng.ExpFloat64()*780), answer: 20 + int(r.rng.ExpFloat64()*72),
+	}
+	r.calls[id] = c
+	r.result.asked++
+	if r.naive > 0 {
+		r.offerNaive(id, c)
+		return
+	}
+	b := r.entries[c.entry]
+	first := predictor.FirstPiece(&figures, figures.Slots, 0, c.prompt) + firstMargin
+	firstBy := r.time().Add(objective)
+	d := b.Offer(r.time(), balancer.Request{
+		ID: id, FirstBy: firstBy, First: first, StartBy: firstBy.Add(-first),
+		Read: predictor.Read(&figures, c.prompt), Random: r.rng.Uint64(),
+	})
+	switch d.Outcome {
+	case balancer.OutcomeStarted:
+		r.started(c.entry, []balancer.Decision{d})
+	case balancer.OutcomeQueued:
+		r.at(r.now+firstBy.Add(-first).Sub(r.time()), func() { r.result.refused += len(b.Expire(r.time())) })
+	default:
+		r.result.refused++
+	}
+}
+
+func (r *replay) offerNaive(id uint64, c *call) {
+	best := -1
+	for i := range r.engines {
+		if r.isReady(i) && r.own[c.entry][i] < r.naive && (best < 0 || r.own[c.entry][i] < r.own[c.entry][best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		r.result.refused++
+		return
+	}
+	r.own[c.entry][best]++
+	r.send(id, best)
+}
+
+func (r *replay) started(entry int, ds []balancer.Decision) {
+	for _, d := range ds {
+		var engine int
+		_, _ = fmt.Sscan(d.Endpoint.ID, &engine)
+		r.calls[d.ID].entry = entry
+		r.send(d.ID, engine)
+	}
+}
+
+func (r *replay) send(id uint64, engine int) {
+	c := r.calls[id]
+	c.engine = engine
+	r.engines[engine].Offer(id, c.prompt, c.answer)
+	if !r.active[engine] {
+		r.pass(engine)
+	}
+}
+
+func (r *replay) pass(engine int) {
+	taken, pieces := r.engines[engine].Pass()
+	r.active[engine] = taken > 0
+	if taken == 0 {
+		return
+	}
+	r.at(r.now+taken, func() {
+		for _, p := range pieces {
+			r.piece(engine, p)
+		}
+		r.pass(engine)
+	})
+}
+
+func (r *replay) piece(engine int, p predictor.Piece) {
+	c := r.calls[p.ID]
+	b := r.entries[c.entry]
+	name := fmt.Sprint(engine)
+	if p.First {
+		if r.now-c.arrived <= objective {
+			r.result.inTime++
+		} else {
+			r.result.late++
+		}
+		r.started(c.entry, b.Began(r.time(), name, p.ID))
+	}
+	if p.Last {
+		r.own[c.entry][engine]--
+		r.started(c.entry, b.Ended(r.time(), name, p.ID, balancer.ResultAnswered))
+	}
+}
+
+// report tells the entries of the loads as they were a moment ago.
+func (r *replay) report() {
+	at := r.time()
+	loads := make([]balancer.Load, len(r.engines))
+	for i, e := range r.engines {
+		loads[i] = balancer.Load{Running: e.Active(), Queued: e.Queued()}
+	}
+	r.at(r.now+reportLag/2, func() {
+		for k, b := range r.entries {
+			for i, l := range loads {
+				r.started(k, b.Report(r.time(), at, fmt.Sprint(i), l, r.rng.Uint64()))
+			}
+		}
+	})
+	if r.now < r.load.length {
+		r.at(r.now+reportLag, r.report)
+	}
+}
+
+// TestLoadsReplayed compares what callers get at the worst loads with a forwarder
+// that only counts its own requests.
+func TestLoadsReplayed(t *testing.T) {
+	tests := map[string]struct {
+		load load
+		// atLeast is the worth that must be reached, above what is compared with
+		// by at least better.
+		atLeast float64
+		better  float64
+	}{
+		"half load": {
+			load:    load{engines: 16, entries: 5, perSecond: 80, length: 20 * time.Second},
+			atLeast: 0.97,
+		},
+		"load above capacity": {
+			load:    load{engines: 16, entries: 5, perSecond: 260, length: 20 * time.Second},
+			atLeast: 0.40, better: 0.1,
+		},
+		"burst of twice the load": {
+			load:    load{engines: 16, entries: 5, perSecond: 110, burst: 2, from: 8 * time.Second, till: 12 * time.Second, length: 20 * time.Second},
+			atLeast: 0.80, better: 0.03,
+		},
+		"empty engines become ready at once": {
+			load:    load{engines: 16, entries: 5, perSecond: 130, emptyShare: 0.5, emptyUntil: 6 * time.Second, length: 14 * time.Second},
+			atLeast: 0.60, better: 0.03,
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			own := play(tc.load, 0)
+			naive := play(tc.load, 4)
+			t.Logf("balancer: %v, worth %.3f; least own requests, up to 4: %v, worth %.3f", own, own.worth(), naive, naive.worth())
+			is.True(own.worth() >= tc.atLeast)
+			is.True(own.worth() >= naive.worth()+tc.better)
+		})
+	}
+}
--- a/pkg/predictor/predictor.go
+++ b/pkg/predictor/predictor.go
@@ -32,21 +32,23 @@
 }
 
 // FirstPiece returns when the first piece of a request comes that starts now
-// beside running others: the rest of the present pass, with a usual prompt read in
-// it, then the pass that reads its own prompt.
-func FirstPiece(e *resolver.Engine, running, prompt int) time.Duration {
-	pass := Pass(e, running, float64(e.UsualPrompt+e.UsualAnswer/2))
-	present := halfOfAPass * float64(pass+Read(e, e.UsualPrompt))
-	return time.Duration(present) + pass + Read(e, prompt)
+// beside running others: the rest of the present pass, then the pass that reads
+// its own prompt after the prompts that wait to be read, which take backlog.
+func FirstPiece(e *resolver.Engine, running int, backlog time.Duration, prompt int) time.Duration {
+	pass := Pass(e, running, float64(e.UsualPrompt+e.UsualAnswer/2)) + othersRead(e, running)
+	return time.Duration(halfOfAPass*float64(pass)) + pass + backlog + Read(e, prompt)
 }
 
 // Whole returns how long a request runs from its first piece to its last beside
 // running others.
 func Whole(e *resolver.Engine, running, prompt, answer int) time.Duration {
 	passes := float64(answer) / float64(e.Stride)
-	pass := Pass(e, running, float64(prompt+answer/2))
-	// Each slot takes a new prompt whenever its request ends, so that the pace of
-	// a pass includes the reading of the others' prompts.
-	read := float64(running) * float64(Read(e, e.UsualPrompt)) * float64(e.Stride) / float64(max(e.UsualAnswer, 1))
-	return time.Duration(passes * (float64(pass) + read))
+	return time.Duration(passes * float64(Pass(e, running, float64(prompt+answer/2))+othersRead(e, running)))
+}
+
+// othersRead is how long a pass reads prompts that take the places of running
+// requests which end.
+func othersRead(e *resolver.Engine, running int) time.Duration {
+	perPass := float64(running) * float64(e.Stride) / float64(max(e.UsualAnswer, 1))
+	return time.Duration(perPass * float64(Read(e, e.UsualPrompt)))
 }
