--- a/internal/gatewayserver/follow.go
+++ b/internal/gatewayserver/follow.go
@@ -36,6 +36,10 @@
 	interval time.Duration
 	// take hands what was read to the blackboard.
 	take func(values []platform.Value, snapshot bool, began time.Time) error
+	// away and back are told of the first failure and of the first answer after
+	// it, once that was taken.
+	away func(ctx context.Context)
+	back func(ctx context.Context)
 
 	next    int64
 	started bool
@@ -55,7 +59,7 @@
 		if f.lost {
 			f.lost = false
 			logger.Log(f.server.cfg.Logger, logger.StoreRegained, zap.String("topic", f.store.Topic()))
-			f.server.storeIsBack(ctx)
+			f.back(ctx)
 		}
 		f.pause = 0
 		pauser.Pause(ctx, f.interval-f.server.cfg.Clock().Sub(began))
@@ -95,7 +99,7 @@
 		f.lost = true
 		logger.Log(f.server.cfg.Logger, logger.StoreLost, zap.String("topic", f.store.Topic()),
 			zap.Duration("proof_age", f.server.cfg.Clock().Sub(f.server.board.View().config.provenAt)), zap.Error(err))
-		f.server.storeIsLost(ctx, err)
+		f.away(ctx)
 	}
 	f.pause = min(max(f.pause*2, storePause), storePauseMost)
 	pauser.Pause(ctx, f.server.jitter(f.pause))
--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -87,7 +87,6 @@
 	crashes *crashes
 	changed notifier.Notifier
 	asking  sync.Map
-	lost    atomic.Int32
 	leaving atomic.Bool
 }
 
@@ -275,6 +274,8 @@
 		take: func(values []platform.Value, _ bool, began time.Time) error {
 			return s.board.Send(context.Background(), configRead{values: values, began: began, source: sourceStore})
 		},
+		away: func(context.Context) {},
+		back: func(context.Context) {},
 	}
 }
 
@@ -284,24 +285,14 @@
 		take: func(values []platform.Value, snapshot bool, began time.Time) error {
 			return s.board.Send(context.Background(), listRead{values: values, snapshot: snapshot, began: began, source: sourceStore})
 		},
+		away: func(ctx context.Context) { _ = s.board.Send(ctx, storeLost{}) },
+		back: func(ctx context.Context) { _ = s.board.Send(ctx, storeBack{}) },
 	}
 }
 
 // sourceStore names the store in the log.
 const sourceStore = "store"
 
-func (s *Server) storeIsLost(ctx context.Context, cause error) {
-	if s.lost.Add(1) == 1 {
-		_ = s.board.Send(ctx, storeLost{cause: cause})
-	}
-}
-
-func (s *Server) storeIsBack(ctx context.Context) {
-	if s.lost.Add(-1) == 0 {
-		_ = s.board.Send(ctx, storeBack{})
-	}
-}
-
 // jitter spreads a pause so that processes do not come together.
 func (*Server) jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(rand.Int64N(int64(d)/2+1))
--- a/internal/gatewayserver/state.go
+++ b/internal/gatewayserver/state.go
@@ -78,7 +78,7 @@
 		began    time.Time
 		source   string
 	}
-	storeLost   struct{ cause error }
+	storeLost   struct{}
 	storeBack   struct{}
 	presence    struct{ heard *messenger.Presence }
 	sidecarTold struct {
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -31,7 +31,7 @@
 
 // graceAfterOutage is how long after the store's return an endpoint may be
 // missing: the store's operators promise new entries within about 2 s.
-const graceAfterOutage = 2200 * time.Millisecond
+const graceAfterOutage = 2100 * time.Millisecond
 
 // List is the endpoints known now. It is immutable; the zero value is empty.
 type List struct {
@@ -39,9 +39,9 @@
 	// lapsed are the entries that the store dropped around an outage, with the
 	// time until which they are still believed.
 	lapsed map[string]time.Time
-	// outageEnd is when the store last came back, away that it is away now.
-	outageEnd time.Time
-	away      bool
+	// away says that the store does not answer, or that its first answer after
+	// an outage is being read.
+	away bool
 }
 
 // All returns the endpoints in the order of their IDs.
@@ -74,7 +74,7 @@
 	if !l.away {
 		return l
 	}
-	l.away, l.outageEnd = false, now
+	l.away = false
 	l.lapsed = maps.Clone(l.lapsed)
 	for id := range l.lapsed {
 		l.lapsed[id] = now.Add(graceAfterOutage)
@@ -97,15 +97,15 @@
 	return l
 }
 
-// WithoutEntry returns the list after the store dropped an entry. An endpoint
-// that was leaving is gone at once; another one is kept for a while if the store
-// was away.
+// WithoutEntry returns the list after the store dropped an entry. What the store
+// dropped while it was away is kept for a while, unless it was leaving; what it
+// drops later is gone.
 func (l List) WithoutEntry(now time.Time, id string) List {
 	old, ok := l.endpoints[id]
 	if !ok {
 		return l
 	}
-	if !old.Draining && (l.away || now.Sub(l.outageEnd) < graceAfterOutage) {
+	if !old.Draining && l.away {
 		l.lapsed = cloned(l.lapsed)
 		l.lapsed[id] = now.Add(graceAfterOutage)
 		return l
