--- /dev/null
+++ b/internal/configurator/node_test.go
@@ -0,0 +1,91 @@
+package configurator_test
+
+import (
+	"errors"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/internal/configurator"
+)
+
+// rendered is the template of the deployment with the values of one instance.
+func rendered(t *testing.T, side bool) string {
+	t.Helper()
+	b, err := os.ReadFile("../../deploy/settings.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(b)
+	sections := map[string]bool{"listen.frontend": !side, "listen.ready": !side, "app": side, "service": side}
+	values := map[string]string{
+		"listen.frontend": `"10.1.0.40:8005"`, "listen.ready": `"10.1.0.40:8002"`, "app": `"10.1.0.42:8001"`, "service": `"huvo11a"`,
+		"node_name|json": `"edge-stred-a-1"`, "zone|json": `"stred-a"`, "region|json": `"stred"`, "zones|json": `{"stred-a":"stred"}`,
+		"ip|json": `"10.1.0.40"`, "port_range.0": "7700", "port_range.1": "7715", "seed_nodes|json": `["10.1.0.40:8000"]`,
+		"platform.address|json": `"10.200.1.7:8007"`, "limits.link_mbps|json": "7.3", "limits.memory_mb|json": "284",
+		"bounds.drain_ms|json": "2000", "bounds.grace_s|json": "8", "bounds.config_ms|json": "2000", "bounds.revoke_ms|json": "5000",
+		"bounds.revoke_strict|json": "true", "bounds.version_ms|json": "8000", "bounds.retry_ratio|json": "0.2",
+		"bounds.retry_window_s|json": "10", "bounds.retry_extra|json": "104",
+	}
+	for name, on := range sections {
+		section := regexp.MustCompile(`(?s)\{\{#` + regexp.QuoteMeta(name) + `\}\}(.*?)\{\{/` + regexp.QuoteMeta(name) + `\}\}`)
+		text = section.ReplaceAllStringFunc(text, func(s string) string {
+			if !on {
+				return ""
+			}
+			return strings.ReplaceAll(section.FindStringSubmatch(s)[1], "{{.|json}}", values[name])
+		})
+	}
+	for name, value := range values {
+		text = strings.ReplaceAll(text, "{{"+name+"}}", value)
+	}
+	return text
+}
+
+func TestTemplateOfTheDeployment(t *testing.T) {
+	is := is.New(t)
+	for _, side := range []bool{false, true} {
+		text := rendered(t, side)
+		is.True(!strings.Contains(text, "{{")) // every placeholder is known here
+		n, err := configurator.Parse("settings.jsonc", []byte(text), configurator.DefaultNode())
+		is.NoErr(err)
+		is.Equal(n.NodePort, 7700)
+		is.Equal(n.Bounds.RetryExtra, 104.0)
+		is.Equal(n.CheckEntry() == nil, !side)
+		is.Equal(n.CheckSidecar() == nil, side)
+	}
+}
+
+func TestNodeSettingsRefused(t *testing.T) {
+	good := rendered(t, false)
+	tests := map[string]struct{ from, to, field string }{
+		"unknown field":   {from: `"log_level"`, to: `"log_levels"`, field: "log_levels"},
+		"wrong type":      {from: `"node_port": 7700`, to: `"node_port": "7700"`, field: "node_port"},
+		"port too large":  {from: `"node_port": 7700`, to: `"node_port": 77000`, field: "node_port"},
+		"address":         {from: `"address": "10.1.0.40"`, to: `"address": "host"`, field: "address"},
+		"store":           {from: `"10.200.1.7:8007"`, to: `"10.200.1.7"`, field: "store"},
+		"seed":            {from: `["10.1.0.40:8000"]`, to: `["10.1.0.40"]`, field: "seeds"},
+		"no name":         {from: `"edge-stred-a-1"`, to: `""`, field: "instance.name"},
+		"negative ratio":  {from: `"retry_ratio": 0.2`, to: `"retry_ratio": -1`, field: "bounds.retry_ratio"},
+		"no grace":        {from: `"grace_s": 8`, to: `"grace_s": 0`, field: "bounds.grace_s"},
+		"no revocation":   {from: `"revocation_ms": 5000`, to: `"revocation_ms": 0`, field: "bounds.revocation_ms"},
+		"negative memory": {from: `"memory_mb": 284`, to: `"memory_mb": -1`, field: "memory_mb"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			text := strings.Replace(good, tc.from, tc.to, 1)
+			is.True(text != good)
+			_, err := configurator.Parse("settings.jsonc", []byte(text), configurator.DefaultNode())
+			var file *configurator.FileError
+			var field *configurator.FieldError
+			is.True(errors.As(err, &file))
+			is.True(errors.As(err, &field))
+			is.Equal(field.Field, tc.field)
+			is.True(file.Line > 1)
+		})
+	}
+}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -291,6 +291,7 @@
 
 // readHead reads heads of answers until one belongs to the request.
 func (a *Answer) readHead(r Request) (err error) {
+	skipped := false
 	for range maxForeign + 1 {
 		//nolint:bodyclose // The connection is the answer's; Close and drop end it.
 		if a.resp, err = http.ReadResponse(a.conn.br, &http.Request{Method: r.Method}); err != nil {
@@ -301,17 +302,18 @@
 		}
 		if r.IsOwn == nil || r.IsOwn(a.resp.Header) {
 			a.Status, a.Header, a.Length = a.resp.StatusCode, a.resp.Header, a.resp.ContentLength
-			a.reusable = !a.resp.Close && a.isFramed()
+			a.reusable = !skipped && !a.resp.Close && a.isFramed()
 			return nil
 		}
+		// What came late once may do so again, so nothing else uses the
+		// connection.
+		skipped = true
 		if !a.isFramed() {
 			return ErrForeign
 		}
 		if _, err = io.CopyN(io.Discard, a.resp.Body, maxForeignBytes); !errors.Is(err, io.EOF) {
 			return ErrForeign
 		}
-		// What followed may be late as well, so nothing else uses the connection.
-		a.resp.Close = true
 	}
 	return ErrForeign
 }
--- /dev/null
+++ b/internal/exchanger/exchanger_test.go
@@ -0,0 +1,277 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/internal/exchanger"
+)
+
+// testTimeout ends a test that hangs.
+const testTimeout = 5 * time.Second
+
+// peer is a server that answers the n-th request of each connection with a script.
+type peer struct {
+	address string
+	conns   atomic.Int32
+}
+
+func newPeer(t *testing.T, serve func(conn net.Conn, n int, id string) (more bool)) *peer {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{address: lis.Addr().String()}
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			conn, aerr := lis.Accept()
+			if aerr != nil {
+				return
+			}
+			p.conns.Add(1)
+			go p.serve(conn, serve)
+		}
+	}()
+	return p
+}
+
+func (*peer) serve(conn net.Conn, serve func(conn net.Conn, n int, id string) bool) {
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(testTimeout))
+	br := bufio.NewReader(conn)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err = io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if !serve(conn, n, r.Header.Get("Id")) {
+			return
+		}
+	}
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func newPool() *exchanger.Pool {
+	return exchanger.New(exchanger.Config{DialTimeout: time.Second, MaxIdle: time.Minute, MaxIdleConns: 4, UserTimeout: time.Second})
+}
+
+func request(address, id string) exchanger.Request {
+	return exchanger.Request{
+		Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("b"),
+		IsOwn: func(h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+// exchange returns the whole body of an answer.
+func exchange(t *testing.T, p *exchanger.Pool, r exchanger.Request) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	a, err := p.Exchange(ctx, r)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+func write(conn net.Conn, s string) bool {
+	_, err := io.WriteString(conn, s)
+	return err == nil
+}
+
+func TestAnswers(t *testing.T) {
+	tests := map[string]struct {
+		serve func(conn net.Conn, n int, id string) bool
+		// want are the bodies of two requests, one after the other; empty for one
+		// whose answer is lost.
+		want [2]string
+		// conns is how many connections they took.
+		conns int32
+	}{
+		"kept connection": {
+			serve: func(conn net.Conn, _ int, id string) bool { return write(conn, answer(id, id)) },
+			want:  [2]string{"a", "b"}, conns: 1,
+		},
+		"extra answer behind the first": {
+			serve: func(conn net.Conn, _ int, id string) bool { return write(conn, answer(id, id)+answer(id, "x")) },
+			want:  [2]string{"a", "b"}, conns: 2,
+		},
+		"late answer of another request before the own": {
+			serve: func(conn net.Conn, _ int, id string) bool { return write(conn, answer("other", "x")+answer(id, id)) },
+			want:  [2]string{"a", "b"}, conns: 2, // what came once may come again
+		},
+		"only answers of other requests": {
+			serve: func(conn net.Conn, _ int, _ string) bool {
+				return write(conn, strings.Repeat(answer("other", "x"), 5))
+			},
+			conns: 2,
+		},
+		"body cut off": {
+			serve: func(conn net.Conn, _ int, id string) bool {
+				write(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: 9\r\n\r\nabc")
+				return false
+			},
+			conns: 2,
+		},
+		"chunks cut off": {
+			serve: func(conn net.Conn, _ int, id string) bool {
+				write(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+				return false
+			},
+			conns: 2,
+		},
+		"no bytes of the protocol": {
+			serve: func(conn net.Conn, _ int, _ string) bool { return write(conn, "nonsense\r\n\r\n") },
+			conns: 2,
+		},
+		"closed without an answer": {
+			serve: func(net.Conn, int, string) bool { return false },
+			conns: 2,
+		},
+		"unframed body ends with the connection": {
+			serve: func(conn net.Conn, _ int, id string) bool {
+				write(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\n"+id)
+				return false
+			},
+			want: [2]string{"a", "b"}, conns: 2,
+		},
+		"unframed body reset": {
+			serve: func(conn net.Conn, _ int, id string) bool {
+				write(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\n"+id)
+				time.Sleep(20 * time.Millisecond)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				return false
+			},
+			conns: 2,
+		},
+		"connection: close": {
+			serve: func(conn net.Conn, _ int, id string) bool {
+				return write(conn, strings.Replace(answer(id, id), "Id:", "Connection: close\r\nId:", 1))
+			},
+			want: [2]string{"a", "b"}, conns: 2,
+		},
+		"idle connection closed at once": {
+			serve: func(conn net.Conn, _ int, id string) bool {
+				return write(conn, strings.Replace(answer(id, id), "Id:", "Keep-Alive: timeout=0\r\nId:", 1))
+			},
+			want: [2]string{"a", "b"}, conns: 2,
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p, pool := newPeer(t, tc.serve), newPool()
+			for i, id := range []string{"a", "b"} {
+				body, err := exchange(t, pool, request(p.address, id))
+				if tc.want[i] == "" {
+					var lost *exchanger.LostError
+					is.True(errors.As(err, &lost)) // an answer that is not whole must not look whole
+				} else {
+					is.NoErr(err)
+					is.Equal(body, tc.want[i])
+				}
+				time.Sleep(30 * time.Millisecond) // what follows an answer has time to arrive
+			}
+			is.Equal(p.conns.Load(), tc.conns)
+		})
+	}
+}
+
+func TestNothingSentToADeadAddress(t *testing.T) {
+	is := is.New(t)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := lis.Addr().String()
+	is.NoErr(lis.Close())
+	_, err = exchange(t, newPool(), request(address, "a"))
+	var notSent *exchanger.NotSentError
+	is.True(errors.As(err, &notSent))
+}
+
+func TestFreshConnection(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, func(conn net.Conn, _ int, id string) bool { return write(conn, answer(id, id)) })
+	pool := newPool()
+	for range 2 {
+		r := request(p.address, "a")
+		r.Fresh = true
+		_, err := exchange(t, pool, r)
+		is.NoErr(err)
+	}
+	is.Equal(p.conns.Load(), int32(2))
+}
+
+func TestContextEndsTheExchangeAndTheConnection(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	p := newPeer(t, func(conn net.Conn, _ int, _ string) bool {
+		var one [1]byte
+		_, _ = conn.Read(one[:])
+		close(closed)
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := newPool().Exchange(ctx, request(p.address, "a"))
+	is.True(errors.Is(err, context.Canceled))
+	select {
+	case <-closed:
+	case <-time.After(testTimeout):
+		t.Fatal("the other side was not told")
+	}
+}
+
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	is := is.New(t)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = lis.Close() })
+	var conns atomic.Int32
+	go func() {
+		for {
+			conn, aerr := lis.Accept()
+			if aerr != nil {
+				return
+			}
+			conns.Add(1)
+			// It answers before it has read the body.
+			br := bufio.NewReader(conn)
+			for {
+				line, rerr := br.ReadString('\n')
+				if rerr != nil || strings.TrimSpace(line) == "" {
+					break
+				}
+			}
+			write(conn, answer("a", "e"))
+		}
+	}()
+	pool := newPool()
+	r := request(lis.Addr().String(), "a")
+	r.Body = make([]byte, 8<<20)
+	for range 2 {
+		body, err := exchange(t, pool, r)
+		is.NoErr(err)
+		is.Equal(body, "e")
+	}
+	is.Equal(conns.Load(), int32(2)) // a second request on the first connection would be taken for the rest of the body
+}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -110,9 +110,8 @@
 	// up to a third of the time that they have left, which is a few seconds.
 	retryLeast = 250 * time.Millisecond
 	retryMost  = 2 * time.Second
-	// rateWindow is the time over which starts are counted; some requests begin
-	// and end in it on each endpoint.
-	rateWindow = 2 * time.Second
+	// smoothing is the share of a new measurement in the mean time of a request.
+	smoothing = 0.05
 )
 
 type waiter struct {
@@ -126,25 +125,22 @@
 	members map[string]*member
 	order   []*member
 	waiting []waiter
-	// starts are the moments of recent starts, from which the rate is known.
-	starts []time.Time
+	// running are the starts of the requests at the endpoints, taken the mean
+	// time that one is there.
+	running map[uint64]time.Time
+	taken   time.Duration
 }
 
 // New returns a balancer without endpoints.
 func New(cfg Config) *Balancer {
-	return &Balancer{cfg: cfg, members: map[string]*member{}}
+	return &Balancer{cfg: cfg, members: map[string]*member{}, running: map[uint64]time.Time{}}
 }
 
 // Waiting returns how many requests wait.
 func (b *Balancer) Waiting() int { return len(b.waiting) }
 
 // InFlight returns how many requests of this process are at the endpoints.
-func (b *Balancer) InFlight() (n int) {
-	for _, m := range b.order {
-		n += m.own
-	}
-	return n
-}
+func (b *Balancer) InFlight() int { return len(b.running) }
 
 // SetSharers tells how many processes send to the endpoints.
 func (b *Balancer) SetSharers(n int) { b.cfg.Sharers = max(n, 1) }
@@ -191,7 +187,7 @@
 		return b.start(now, r, m)
 	}
 	if !b.hasCandidate(now, r) {
-		return Decision{ID: r.ID, Outcome: OutcomeNoEndpoint, RetryAfter: b.retryAfter(now)}
+		return Decision{ID: r.ID, Outcome: OutcomeNoEndpoint, RetryAfter: b.retryAfter()}
 	}
 	return b.queue(now, r)
 }
@@ -224,38 +220,28 @@
 		}
 		return 1
 	})
-	busy := Decision{ID: r.ID, Outcome: OutcomeBusy, Waiting: len(b.waiting), RetryAfter: b.retryAfter(now)}
-	if !now.Before(r.StartBy) || len(b.waiting) >= b.cfg.MaxWaiting || now.Add(b.expectedWait(now, at)).After(r.StartBy) {
+	busy := Decision{ID: r.ID, Outcome: OutcomeBusy, Waiting: len(b.waiting), RetryAfter: b.retryAfter()}
+	if !now.Before(r.StartBy) || len(b.waiting) >= b.cfg.MaxWaiting || now.Add(b.expectedWait(at)).After(r.StartBy) {
 		return busy
 	}
 	b.waiting = slices.Insert(b.waiting, at, waiter{request: r, since: now})
 	return Decision{ID: r.ID, Outcome: OutcomeQueued, Waiting: len(b.waiting)}
 }
 
-// expectedWait estimates when a request with some before it starts, by the rate
-// of recent starts. Without any it is not known and 0.
-func (b *Balancer) expectedWait(now time.Time, ahead int) time.Duration {
-	n := b.recentStarts(now)
-	if n == 0 {
+// expectedWait estimates when a request with some before it starts: the places in
+// use become free evenly over the time of a request. Without any it is not known
+// and 0.
+func (b *Balancer) expectedWait(ahead int) time.Duration {
+	if len(b.running) == 0 {
 		return 0
 	}
-	return time.Duration(ahead+1) * rateWindow / time.Duration(n)
-}
-
-func (b *Balancer) recentStarts(now time.Time) int {
-	old := now.Add(-rateWindow)
-	i := 0
-	for i < len(b.starts) && b.starts[i].Before(old) {
-		i++
-	}
-	b.starts = b.starts[i:]
-	return len(b.starts)
+	return time.Duration(ahead+1) * b.taken / time.Duration(len(b.running))
 }
 
 // retryAfter is the time in which the endpoints work off what waits and half of
 // what is running.
-func (b *Balancer) retryAfter(now time.Time) time.Duration {
-	wait := b.expectedWait(now, len(b.waiting)+b.InFlight()/2)
+func (b *Balancer) retryAfter() time.Duration {
+	wait := b.expectedWait(len(b.waiting) + b.InFlight()/2)
 	return min(max(wait, retryLeast), retryMost)
 }
 
@@ -265,7 +251,7 @@
 		Load: m.load(now, b.cfg.Sharers), LoadAge: now.Sub(m.reportedAt), Waiting: len(b.waiting),
 	}
 	m.begin(now, r)
-	b.starts = append(b.starts, now)
+	b.running[r.ID] = now
 	return d
 }
 
@@ -299,7 +285,7 @@
 		return true
 	})
 	for i := range refused {
-		refused[i].RetryAfter = b.retryAfter(now)
+		refused[i].RetryAfter = b.retryAfter()
 	}
 	return refused
 }
@@ -324,6 +310,13 @@
 // Ended records the end of a request at an endpoint. It returns the waiting
 // requests that start now.
 func (b *Balancer) Ended(now time.Time, id string, request uint64, r Result) []Decision {
+	if since, ok := b.running[request]; ok {
+		delete(b.running, request)
+		if b.taken == 0 {
+			b.taken = now.Sub(since)
+		}
+		b.taken += time.Duration(smoothing * float64(now.Sub(since)-b.taken))
+	}
 	if m := b.members[id]; m != nil {
 		m.read(request)
 		m.end(now, r)
--- a/pkg/switcher/switcher.go
+++ b/pkg/switcher/switcher.go
@@ -69,7 +69,10 @@
 	}
 	if s.Loaded == 0 {
 		// Any version that may still begin is better than none.
-		return best, best >= newest.Version || now.Before(newest.At.Add(s.Bound))
+		if best < newest.Version && !now.Before(newest.At.Add(s.Bound)) {
+			return 0, false
+		}
+		return best, true
 	}
 	// The first version that replaces the loaded one sets the time: from its
 	// bound on, the loaded one may not begin any request.
--- /dev/null
+++ b/pkg/switcher/switcher_test.go
@@ -0,0 +1,156 @@
+package switcher_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/pkg/switcher"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func members(n int) (ms []switcher.Member) {
+	for i := range n {
+		ms = append(ms, switcher.Member{Address: fmt.Sprintf("10.0.0.%d:1", i), Region: fmt.Sprintf("r%d", i%3)})
+	}
+	return ms
+}
+
+const (
+	bound    = 8 * time.Second
+	copyTime = 2600 * time.Millisecond
+)
+
+func TestNext(t *testing.T) {
+	all := members(9)
+	order := switcher.Order(all, 2)
+	base := switcher.State{
+		Self: order[0], Members: all, Bound: bound, CopyTime: copyTime,
+		Named: []switcher.Named{{Version: 1, At: at(-60000)}, {Version: 2, At: at(0)}},
+	}
+	tests := map[string]struct {
+		now      time.Time
+		change   func(*switcher.State)
+		version  uint64
+		nothing  bool
+		complete []uint64
+		loaded   uint64
+	}{
+		"nothing complete":                   {now: at(7000), loaded: 1, nothing: true},
+		"loaded already":                     {now: at(7000), loaded: 2, complete: []uint64{1, 2}, nothing: true},
+		"an order is under way":              {now: at(7000), loaded: 1, complete: []uint64{2}, change: func(s *switcher.State) { s.Loading = true }, nothing: true},
+		"first turn not yet":                 {now: at(2700), loaded: 1, complete: []uint64{2}, nothing: true},
+		"first turn":                         {now: at(2900), loaded: 1, complete: []uint64{2}, version: 2},
+		"last turn not yet":                  {now: at(6300), loaded: 1, complete: []uint64{2}, change: func(s *switcher.State) { s.Self = order[8] }, nothing: true},
+		"last turn is before the bound":      {now: at(6500), loaded: 1, complete: []uint64{2}, change: func(s *switcher.State) { s.Self = order[8] }, version: 2},
+		"empty takes the newest at once":     {now: at(10), complete: []uint64{1, 2}, version: 2},
+		"empty takes an older one in time":   {now: at(10), complete: []uint64{1}, version: 1},
+		"empty takes no version out of time": {now: at(8100), complete: []uint64{1}, nothing: true},
+		"the newest is near, so one switch": {
+			now: at(4800), loaded: 1, complete: []uint64{2}, nothing: true,
+			change: func(s *switcher.State) {
+				s.Bound = 13400 * time.Millisecond
+				s.Named = append(s.Named, switcher.Named{Version: 3, At: at(2000)})
+			},
+		},
+		"the newest would come too late": {
+			now: at(5000), loaded: 1, complete: []uint64{2}, version: 2,
+			change: func(s *switcher.State) { s.Named = append(s.Named, switcher.Named{Version: 3, At: at(2000)}) },
+		},
+		"turns count from the first version that replaces the loaded one": {
+			now: at(6500), loaded: 1, complete: []uint64{3}, version: 3,
+			change: func(s *switcher.State) {
+				s.Self = order[8]
+				s.Named = append(s.Named, switcher.Named{Version: 3, At: at(4000)})
+			},
+		},
+		"an instance that is on no list switches at once": {
+			now: at(10), loaded: 1, complete: []uint64{2}, version: 2,
+			change: func(s *switcher.State) { s.Self = "10.9.9.9:1" },
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := base
+			s.Loaded, s.Complete = tc.loaded, tc.complete
+			if tc.change != nil {
+				tc.change(&s)
+			}
+			version, ok := switcher.Next(tc.now, s)
+			is.Equal(ok, !tc.nothing)
+			is.Equal(version, tc.version)
+		})
+	}
+}
+
+// TestCapacityThroughASwitch replays a switch: endpoints that drain and load serve
+// nothing. Turns must leave more at work in the worst half second than a switch of
+// all at once, and finish in time, which one by one does not.
+func TestCapacityThroughASwitch(t *testing.T) {
+	is := is.New(t)
+	const (
+		n     = 27
+		outMS = 2000
+	)
+	ms := members(n)
+	turnOf := func(self string) int {
+		for now := 0; ; now += 10 {
+			s := switcher.State{
+				Self: self, Members: ms, Bound: bound, CopyTime: copyTime, Loaded: 1, Complete: []uint64{2},
+				Named: []switcher.Named{{Version: 2, At: at(0)}},
+			}
+			if _, ok := switcher.Next(at(now), s); ok {
+				return now
+			}
+		}
+	}
+	worst := func(turns []int) (least int) {
+		least = n
+		for now := 0; now < 60000; now += 100 {
+			working := n
+			for _, turn := range turns {
+				if now >= turn && now < turn+outMS {
+					working--
+				}
+			}
+			least = min(least, working)
+		}
+		return least
+	}
+	var spread, atOnce, oneByOne []int
+	last := 0
+	for i, m := range ms {
+		spread = append(spread, turnOf(m.Address))
+		last = max(last, spread[i])
+		atOnce = append(atOnce, 2800)
+		oneByOne = append(oneByOne, 2800+i*outMS)
+	}
+	t.Logf("least at work of %d: in turns %d, all at once %d, one by one %d (ends at %d ms)", n, worst(spread), worst(atOnce), worst(oneByOne), oneByOne[n-1])
+	is.Equal(worst(atOnce), 0)
+	is.True(worst(spread) >= n/3)
+	is.True(last < int(bound.Milliseconds())*9/10)
+	is.True(oneByOne[n-1] > int(bound.Milliseconds()))
+}
+
+func TestOrderGoesRoundTheRegions(t *testing.T) {
+	is := is.New(t)
+	order := switcher.Order(members(9), 2)
+	is.Equal(len(order), 9)
+	byAddress := map[string]string{}
+	for _, m := range members(9) {
+		byAddress[m.Address] = m.Region
+	}
+	for i := 0; i+2 < len(order); i += 3 {
+		regions := map[string]struct{}{}
+		for _, a := range order[i : i+3] {
+			regions[byAddress[a]] = struct{}{}
+		}
+		is.Equal(len(regions), 3)
+	}
+}
