--- a/internal/agentserver/server.go
+++ b/internal/agentserver/server.go
@@ -208,7 +208,7 @@
 	}
 	for _, v := range p.GetVersions() {
 		// An endpoint holds one model; the platform's services have one each.
-		plan.Model, plan.Version = v.GetModel(), v.GetVersion()
+		plan.Model, plan.Version, plan.Held = v.GetModel(), v.GetVersion(), v.GetHeld()
 		plan.NamedAt = now.Add(-time.Duration(v.GetAgeMs()) * time.Millisecond)
 	}
 	for _, m := range p.GetMembers() {
--- a/internal/gatewayserver/relay.go
+++ b/internal/gatewayserver/relay.go
@@ -177,10 +177,11 @@
 	now := s.cfg.Clock()
 	for _, model := range e.Models {
 		named := v.config.newest(model)
-		if named.Version == 0 {
+		held := named.Version == 0
+		if held {
 			named = v.list.held[model]
 		}
-		wanted := &messenger.NamedVersion{Model: model, Version: named.Version, AgeMs: ageMillis(now, named.LearnedAt)}
+		wanted := &messenger.NamedVersion{Model: model, Version: named.Version, AgeMs: ageMillis(now, named.LearnedAt), Held: held}
 		if wanted.Version > 0 {
 			reply.Versions = append(reply.Versions, wanted)
 			h := xxhash.New()
--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -81,7 +81,7 @@
 		stager: s, model: p.Model, version: p.Version, name: versionName(p.Model, p.Version), plan: p,
 		cancel: cancel, adopt: adopt, members: p.Members,
 	}
-	if now.Sub(p.NamedAt) > adoptAfter {
+	if p.Held || now.Sub(p.NamedAt) > adoptAfter {
 		f.settle = settleTime
 	}
 	logger.Log(s.cfg.Logger, logger.RolloutStarted, zap.String("model", p.Model), zap.Uint64("version", p.Version),
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -27,7 +27,9 @@
 	Model   string
 	Version uint64
 	// NamedAt is when the version was named, as far as is known.
-	NamedAt      time.Time
+	NamedAt time.Time
+	// Held says that nobody named the version and that endpoints hold it.
+	Held         bool
 	Chunks       int
 	ChunkBytes   int
 	Origin       string
