--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -42,6 +42,7 @@
 	f.end(a, result)
 	f.writeHead(w, c, a, len(a.body))
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	//nolint:gosec // An endpoint's answer goes to its caller unchanged, whatever it is.
 	_, err := w.Write(a.body)
 	f.logAnswered(c, a, err)
 }
@@ -78,7 +79,6 @@
 		return nil
 	}
 	_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	//nolint:gosec // An endpoint's answer goes to its caller unchanged, whatever it is.
 	if _, err := w.Write(es.data); err != nil {
 		return err
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -440,6 +440,7 @@
 	br := bufio.NewReader(conn)
 	resp, err := http.ReadResponse(br, nil)
 	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	is.NoErr(err)
 	is.Equal(string(body), "x")
--- /dev/null
+++ b/pkg/balancer/balancer_test.go
@@ -0,0 +1,160 @@
+package balancer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/pkg/balancer"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func endpoints(n, slots int) (es []balancer.Endpoint) {
+	for i := range n {
+		id := string(rune('a' + i))
+		es = append(es, balancer.Endpoint{ID: id, Address: id, Region: "r", Slots: slots, Ready: true, Version: 1})
+	}
+	return es
+}
+
+func newBalancer(es []balancer.Endpoint) *balancer.Balancer {
+	b := balancer.New(balancer.Config{Region: "r", MaxWaiting: 10, Sharers: 1, RemotePenalty: 0.1})
+	b.SetEndpoints(at(0), es)
+	for _, e := range es {
+		b.Report(at(0), at(0), e.ID, balancer.Load{}, 0)
+	}
+	return b
+}
+
+func request(id uint64, now time.Time) balancer.Request {
+	return balancer.Request{ID: id, FirstBy: now.Add(400 * time.Millisecond), First: 100 * time.Millisecond, StartBy: now.Add(300 * time.Millisecond)}
+}
+
+func TestOffer(t *testing.T) {
+	tests := map[string]struct {
+		endpoints []balancer.Endpoint
+		before    func(b *balancer.Balancer)
+		change    func(r *balancer.Request)
+		want      balancer.Outcome
+		endpoint  string
+	}{
+		"free":                 {endpoints: endpoints(1, 2), want: balancer.OutcomeStarted, endpoint: "a"},
+		"none":                 {want: balancer.OutcomeNoEndpoint},
+		"not ready":            {endpoints: []balancer.Endpoint{{ID: "a", Slots: 2}}, want: balancer.OutcomeNoEndpoint},
+		"another version":      {endpoints: endpoints(1, 2), change: func(r *balancer.Request) { r.Version = 2 }, want: balancer.OutcomeNoEndpoint},
+		"too old a version":    {endpoints: endpoints(1, 2), change: func(r *balancer.Request) { r.LeastVersion = 2 }, want: balancer.OutcomeNoEndpoint},
+		"tried":                {endpoints: endpoints(1, 2), change: func(r *balancer.Request) { r.Exclude = []string{"a"} }, want: balancer.OutcomeNoEndpoint},
+		"full, waits":          {endpoints: endpoints(1, 1), before: fill(1), want: balancer.OutcomeQueued},
+		"full, no time left":   {endpoints: endpoints(1, 1), before: fill(1), change: func(r *balancer.Request) { r.StartBy = at(0) }, want: balancer.OutcomeBusy},
+		"too many wait":        {endpoints: endpoints(1, 1), before: fill(11), want: balancer.OutcomeBusy},
+		"unreachable is left":  {endpoints: endpoints(2, 4), before: fail("a", balancer.ResultUnreachable, 1), want: balancer.OutcomeStarted, endpoint: "b"},
+		"one loss is a chance": {endpoints: endpoints(1, 4), before: fail("a", balancer.ResultLost, 1), want: balancer.OutcomeStarted, endpoint: "a"},
+		"two losses are not":   {endpoints: endpoints(2, 4), before: fail("a", balancer.ResultLost, 2), want: balancer.OutcomeStarted, endpoint: "b"},
+		"refused for a moment": {endpoints: endpoints(2, 4), before: fail("a", balancer.ResultRefused, 1), want: balancer.OutcomeStarted, endpoint: "b"},
+		"the own region first": {
+			endpoints: []balancer.Endpoint{{ID: "a", Region: "q", Slots: 100, Ready: true}, {ID: "b", Region: "r", Slots: 100, Ready: true}},
+			want:      balancer.OutcomeStarted, endpoint: "b",
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(tc.endpoints)
+			if tc.before != nil {
+				tc.before(b)
+			}
+			r := request(100, at(0))
+			if tc.change != nil {
+				tc.change(&r)
+			}
+			d := b.Offer(at(0), r)
+			is.Equal(d.Outcome, tc.want)
+			is.Equal(d.Endpoint.ID, tc.endpoint)
+			if tc.want == balancer.OutcomeBusy || tc.want == balancer.OutcomeNoEndpoint {
+				is.True(d.RetryAfter > 0)
+			}
+		})
+	}
+}
+
+// fill offers requests until so many were offered.
+func fill(n uint64) func(b *balancer.Balancer) {
+	return func(b *balancer.Balancer) {
+		for i := range n {
+			b.Offer(at(0), request(i+1, at(0)))
+		}
+	}
+}
+
+// fail lets requests at an endpoint end badly.
+func fail(id string, r balancer.Result, times uint64) func(b *balancer.Balancer) {
+	return func(b *balancer.Balancer) {
+		for i := range times {
+			b.Ended(at(0), id, i+1, r)
+		}
+	}
+}
+
+func TestEndpointWithAnOverdueFirstPieceGetsNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(endpoints(1, 8))
+	is.Equal(b.Offer(at(0), request(1, at(0))).Outcome, balancer.OutcomeStarted)
+	is.Equal(b.Offer(at(500), request(2, at(500))).Outcome, balancer.OutcomeStarted)
+	is.Equal(b.Offer(at(700), request(3, at(700))).Outcome, balancer.OutcomeQueued) // overdue since 600
+	started := b.Began(at(710), "a", 1)
+	is.Equal(len(started), 1) // it works after all
+	is.Equal(started[0].ID, uint64(3))
+}
+
+func TestWaitingOrder(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(endpoints(1, 1))
+	b.Offer(at(0), request(1, at(0)))
+	late, soon, urgent := request(2, at(0)), request(3, at(0)), request(4, at(0))
+	late.Late = true
+	soon.StartBy = at(200)
+	soon.Priority, late.Priority, urgent.Priority = 1, 0, 0
+	for _, r := range []balancer.Request{late, soon, urgent} {
+		is.Equal(b.Offer(at(1), r).Outcome, balancer.OutcomeQueued)
+	}
+	var order []uint64
+	for id := uint64(1); len(order) < 3; id = order[len(order)-1] {
+		ds := b.Ended(at(10), "a", id, balancer.ResultAnswered)
+		is.Equal(len(ds), 1)
+		order = append(order, ds[0].ID)
+	}
+	is.Equal(order, []uint64{4, 3, 2}) // urgent ones, then by time, late ones last
+}
+
+func TestExpiredRequestsAreRefused(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(endpoints(1, 1))
+	b.Offer(at(0), request(1, at(0)))
+	b.Offer(at(0), request(2, at(0)))
+	is.Equal(len(b.Expire(at(299))), 0)
+	ds := b.Expire(at(300))
+	is.Equal(len(ds), 1)
+	is.Equal(ds[0].Outcome, balancer.OutcomeBusy)
+	is.True(ds[0].RetryAfter > 0)
+	is.True(!b.Abandon(2))
+}
+
+func TestFreePlacesAreSplit(t *testing.T) {
+	is := is.New(t)
+	b := balancer.New(balancer.Config{Region: "r", MaxWaiting: 100, Sharers: 4})
+	b.SetEndpoints(at(0), endpoints(1, 16))
+	b.Report(at(0), at(0), "a", balancer.Load{Running: 8}, 0)
+	started := 0
+	for i := range uint64(20) {
+		if b.Offer(at(1), request(i+1, at(1))).Outcome == balancer.OutcomeStarted {
+			started++
+		}
+	}
+	is.Equal(started, 2) // a fourth of the eight that are free
+	b.Report(at(60), at(60), "a", balancer.Load{Running: 20}, 0)
+	is.Equal(len(b.Ended(at(61), "a", 1, balancer.ResultAnswered)), 0) // too many there: a place is not taken again
+}
--- a/pkg/balancer/member.go
+++ b/pkg/balancer/member.go
@@ -40,6 +40,10 @@
 	// refusedPause is how long an endpoint that had no place is passed over;
 	// about one request ends there meanwhile.
 	refusedPause = 100 * time.Millisecond
+	// overdue is how much later than expected a first piece comes only from an
+	// endpoint that should get nothing more for now; with all places taken they
+	// come within 300 ms of it.
+	overdue = 500 * time.Millisecond
 	// pendingMost is how long a prompt counts as not read; one that takes longer
 	// waits for a place and not for the reader.
 	pendingMost = time.Second
@@ -69,7 +73,7 @@
 	own int
 	// recent are the moments of the latest own starts.
 	recent []time.Time
-	// pending are the own requests whose prompt is not read yet.
+	// pending are the own requests without a first piece of their answer.
 	pending []pending
 	// fresh counts the starts of other processes that the last reports showed.
 	fresh   int
@@ -87,11 +91,14 @@
 	pausedUntil time.Time
 }
 
-// pending is a prompt that waits to be read.
+// pending is a request whose first piece has not come.
 type pending struct {
 	request uint64
 	since   time.Time
-	read    time.Duration
+	// first is when the piece is expected after since, read the part of it that
+	// reads the prompt.
+	first time.Duration
+	read  time.Duration
 }
 
 // restart forgets the load and health of an earlier start.
@@ -169,7 +176,18 @@
 	return sum
 }
 
-// read forgets a prompt that was read.
+// isStuck tells whether a first piece is long overdue, as from an endpoint that
+// hangs, is cut off or lies behind a choked link.
+func (m *member) isStuck(now time.Time) bool {
+	for _, p := range m.pending {
+		if now.Sub(p.since) > p.first+overdue {
+			return true
+		}
+	}
+	return false
+}
+
+// read forgets a request whose first piece came.
 func (m *member) read(request uint64) {
 	m.pending = slices.DeleteFunc(m.pending, func(p pending) bool { return p.request == request })
 }
@@ -190,9 +208,7 @@
 
 func (m *member) begin(now time.Time, r Request) {
 	m.own++
-	if r.Read > 0 {
-		m.pending = append(m.pending, pending{request: r.ID, since: now, read: r.Read})
-	}
+	m.pending = append(m.pending, pending{request: r.ID, since: now, first: r.First, read: r.Read})
 	m.recent = append(m.recent, now)
 	if len(m.recent) > maxRecent {
 		m.recent = slices.Delete(m.recent, 0, len(m.recent)-maxRecent)
@@ -250,7 +266,7 @@
 // isReadInTime tells whether an engine comes to a request's prompt in time, and
 // without a pause for those that it runs.
 func (b *Balancer) isReadInTime(now time.Time, m *member, r Request, backlog time.Duration) bool {
-	if r.Read == 0 || len(m.pending) == 0 && backlog == 0 {
+	if r.Read == 0 || backlog == 0 {
 		return true
 	}
 	if backlog+r.Read > backlogMost || (!r.Late && now.Add(r.First+backlog).After(r.FirstBy)) {
@@ -268,7 +284,7 @@
 	bestCost := 0.0
 	random := r.Random
 	for _, m := range b.order {
-		if !m.mayRun(r) || now.Before(m.pausedUntil) || (m.isTrial() && m.own > 0) {
+		if !m.mayRun(r) || now.Before(m.pausedUntil) || (m.isTrial() && m.own > 0) || m.isStuck(now) {
 			continue
 		}
 		if !m.mayTake(now, b.cfg.Sharers) {
--- /dev/null
+++ b/pkg/planner/choked_test.go
@@ -0,0 +1,54 @@
+package planner_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/pkg/chunker"
+	"flamingoledge.org/flamingoledge/pkg/planner"
+)
+
+// TestChokedLinkIsNotFilled replays a link that became ten times slower: chunks that
+// were asked for must not queue for seconds before live requests.
+func TestChokedLinkIsNotFilled(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	members := []planner.Member{{Instance: "self", Region: "r"}, {Instance: "b", Region: "r"}, {Instance: "c", Region: "r"}, {Instance: "d", Region: "r"}}
+	p := planner.New(planner.Config{
+		Self: members[0], VersionDigest: "v", Chunks: 96, OriginRegion: "q", OriginRanks: 1, EagerRanks: 1, Neighbors: 6,
+		PeerWindow: 2, OriginWindow: 1, TotalWindow: 6, TakeoverAfter: time.Hour, ChunkTimeout: time.Hour,
+		Rand: rand.New(rand.NewPCG(1, 2)),
+	}, now, chunker.NewIndexSet(96))
+	p.SetMembers(members)
+	for _, m := range members[1:] {
+		for i := range 96 {
+			p.PeerGained(m.Instance, i)
+		}
+	}
+	var flying []planner.Fetch
+	step := func(latency time.Duration) int {
+		flying = append(flying, p.Next(now)...)
+		most := len(flying)
+		now = now.Add(latency)
+		for _, f := range flying {
+			p.Done(now, f)
+		}
+		flying = flying[:0]
+		return most
+	}
+	is.Equal(step(100*time.Millisecond), 6)
+	is.Equal(step(100*time.Millisecond), 6)
+	var most int
+	for range 8 {
+		most = step(1500 * time.Millisecond)
+		now = now.Add(3 * time.Second)
+	}
+	is.True(most <= 2)
+	for range 12 {
+		most = step(50 * time.Millisecond)
+	}
+	is.Equal(most, 6) // a link that is wide again is used again
+}
--- a/pkg/planner/next.go
+++ b/pkg/planner/next.go
@@ -71,11 +71,12 @@
 
 // planLocal pulls the rarest chunks from the least busy neighbours.
 func (p *Planner) planLocal(now time.Time, fs []Fetch) []Fetch {
-	if p.inFlight >= p.cfg.TotalWindow {
+	window := p.window()
+	if p.inFlight >= window {
 		return fs
 	}
 	names := p.localPeers(now)
-	for p.inFlight < p.cfg.TotalWindow && len(names) > 0 {
+	for p.inFlight < window && len(names) > 0 {
 		slices.SortStableFunc(names, func(a, b string) int {
 			return cmp.Compare(p.peers[a].inFlight, p.peers[b].inFlight)
 		})
