--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -73,6 +73,7 @@
 	held     *assembler.Assembly
 	transfer *transferrer.Transfer
 	done     bool
+	doneAt   time.Time
 }
 
 func (s *Stager) newFetch(ctx context.Context, now time.Time, p Plan, adopt bool) *fetch {
@@ -96,6 +97,13 @@
 	return f.done
 }
 
+// completedAt is when the last chunk came.
+func (f *fetch) completedAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.doneAt
+}
+
 func (f *fetch) assembly() *assembler.Assembly {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -156,7 +164,7 @@
 		return err
 	}
 	f.mu.Lock()
-	f.done = true
+	f.done, f.doneAt = true, f.stager.cfg.Clock()
 	f.mu.Unlock()
 	return nil
 }
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -210,10 +210,11 @@
 	s.switching.Store(false)
 }
 
-func (s *Stager) complete() (versions []uint64) {
+func (s *Stager) complete() map[uint64]time.Time {
+	versions := map[uint64]time.Time{}
 	for v, f := range s.fetches {
 		if f.isComplete() {
-			versions = append(versions, v)
+			versions[v] = f.completedAt()
 		}
 	}
 	return versions
--- a/pkg/switcher/switcher.go
+++ b/pkg/switcher/switcher.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -38,8 +39,9 @@
 	Loaded uint64
 	// Loading says that an order is under way.
 	Loading bool
-	// Complete are the versions of which every chunk is at hand.
-	Complete []uint64
+	// Complete are the versions of which every chunk is at hand, with the time
+	// since when.
+	Complete map[uint64]time.Time
 	// Bound is the time from a naming after which older versions may not begin.
 	Bound time.Duration
 	// CopyTime is how long a whole version takes over the endpoint's link.
@@ -51,7 +53,7 @@
 	// first is after the fastest instances have every chunk; the last leaves time
 	// for a lost order, its repeat and the news of it.
 	firstShare = 0.35
-	lastShare  = 0.80
+	lastShare  = 0.83
 	// copyMargin times the copy time is how long a version takes to arrive while
 	// others fetch it too.
 	copyMargin = 1.6
@@ -63,7 +65,7 @@
 		return 0, false
 	}
 	newest := s.Named[len(s.Named)-1]
-	best := slices.Max(s.Complete)
+	best := slices.Max(slices.Collect(maps.Keys(s.Complete)))
 	if best <= s.Loaded {
 		return 0, false
 	}
@@ -77,7 +79,7 @@
 	// The first version that replaces the loaded one sets the time: from its
 	// bound on, the loaded one may not begin any request.
 	first := s.firstAfterLoaded(newest)
-	if now.Before(turn(s, first)) {
+	if now.Before(turn(s, first, s.Complete[best])) {
 		return 0, false
 	}
 	if best < newest.Version && now.Add(s.remaining()).Before(first.At.Add(time.Duration(lastShare*float64(s.Bound)))) {
@@ -100,16 +102,21 @@
 	return time.Duration(copyMargin * float64(s.CopyTime))
 }
 
-// turn is the moment from which the endpoint may load a version. The turns are
-// spread evenly, and those of one region lie apart.
-func turn(s State, n Named) time.Time {
+// turn is the moment from which the endpoint may load a version that is complete
+// since a moment. The turns are spread evenly over the time that is left, and those
+// of one region lie apart. Instances complete a version at about the same time.
+func turn(s State, n Named, complete time.Time) time.Time {
 	order := Order(s.Members, n.Version)
 	place := slices.Index(order, s.Self)
 	if place < 0 || len(order) < 2 {
 		return n.At
 	}
-	share := firstShare + (lastShare-firstShare)*float64(place)/float64(len(order)-1)
-	return n.At.Add(time.Duration(share * float64(s.Bound)))
+	first := n.At.Add(time.Duration(firstShare * float64(s.Bound)))
+	if complete.After(first) {
+		first = complete
+	}
+	left := n.At.Add(time.Duration(lastShare * float64(s.Bound))).Sub(first)
+	return first.Add(time.Duration(float64(max(left, 0)) * float64(place) / float64(len(order)-1)))
 }
 
 // Order returns the addresses of the members in the order of their turns for a
