Returning requests wait 120 ms, starts keep two errors of time

Cause: with returning requests in the replay, those that can't be in time any more took the places that became free while nobody else waited, and were late anyway.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -139,7 +139,7 @@
 
 // lateWait is how long a request waits that can't meet its objective any more; it
 // gets the places that the others leave.
-const lateWait = 300 * time.Millisecond
+const lateWait = 120 * time.Millisecond
 
 // versionMargin is how long before the bound older versions get no new requests:
 // a request may wait in the endpoint for about as long as another one takes, and
--- a/internal/forwarder/paces.go
+++ b/internal/forwarder/paces.go
@@ -15,10 +15,10 @@
 	// it was measured.
 	plainFirst = 20 * time.Millisecond
 	// errorMargin times the mean error is added to an expected time. Waiting less
-	// loses nothing at full load, because places are taken all the same, and what
-	// starts has more time left; twice to three times the error serves most in
+	// loses little at full load, because places are taken all the same, and what
+	// starts has more time left; about twice the error serves most in
 	// the replayed loads.
-	errorMargin = 2.5
+	errorMargin = 2.0
 )
 
 // paces learns how long it takes from the send to the first byte or event, by
--- a/pkg/balancer/replay_test.go
+++ b/pkg/balancer/replay_test.go
@@ -53,7 +53,7 @@
 	objective = 450 * time.Millisecond
 	reportLag = 100 * time.Millisecond
 	// firstMargin is for what varies, as the forwarder learns it.
-	firstMargin = 160 * time.Millisecond
+	firstMargin = 120 * time.Millisecond
 )
 
 // replay plays a load. naive sends at once to the engine with the fewest own
@@ -78,6 +78,7 @@
 	arrived       time.Duration
 	prompt        int
 	answer        int
+	refused       bool
 }
 
 type event struct {
@@ -161,21 +162,48 @@
 		r.offerNaive(id, c)
 		return
 	}
+	r.offer(id, c)
+}
+
+// lateWait is how long a request waits that came back after a refusal.
+const lateWait = 120 * time.Millisecond
+
+// offer offers a request to a balancer. One that is refused comes back once.
+func (r *replay) offer(id uint64, c *call) {
 	b := r.entries[c.entry]
 	first := predictor.FirstPiece(&figures, figures.Slots, 0, c.prompt) + firstMargin
-	firstBy := r.time().Add(objective)
-	d := b.Offer(r.time(), balancer.Request{
-		ID: id, FirstBy: firstBy, First: first, StartBy: firstBy.Add(-first),
-		Read: predictor.Read(&figures, c.prompt), Random: r.rng.Uint64(),
-	})
+	req := balancer.Request{
+		ID: id, FirstBy: r.time().Add(objective), First: first, StartBy: r.time().Add(objective - first),
+		Read: predictor.Read(&figures, c.prompt), Random: r.rng.Uint64(), Late: c.refused,
+	}
+	if c.refused {
+		req.StartBy = r.time().Add(lateWait)
+	}
+	d := b.Offer(r.time(), req)
 	switch d.Outcome {
 	case balancer.OutcomeStarted:
 		r.started(c.entry, []balancer.Decision{d})
 	case balancer.OutcomeQueued:
-		r.at(r.now+firstBy.Add(-first).Sub(r.time()), func() { r.result.refused += len(b.Expire(r.time())) })
+		r.at(r.now+req.StartBy.Sub(r.time()), func() {
+			for _, d := range b.Expire(r.time()) {
+				r.refuse(d)
+			}
+		})
 	default:
+		r.refuse(d)
+	}
+}
+
+// refuse lets a request come back when it is told to, at any entry.
+func (r *replay) refuse(d balancer.Decision) {
+	c := r.calls[d.ID]
+	if c.refused {
 		r.result.refused++
+		return
 	}
+	c.refused = true
+	c.entry = r.rng.IntN(r.load.entries)
+	r.at(r.now+d.RetryAfter, func() { r.offer(d.ID, c) })
 }
 
 func (r *replay) offerNaive(id uint64, c *call) {
