Keep in the store when versions were named

Entries note each naming in a topic of the system's own, with the time of day, and read the notes at their start; peers tell the ages.

--- a/internal/gatewayserver/configuration.go
+++ b/internal/gatewayserver/configuration.go
@@ -1,6 +1,7 @@
 package gatewayserver
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -26,6 +27,7 @@
 	}
 	var actions []controller.Action
 	before := s.config.digest
+	s.config = s.config.withNamings(now, e.namings)
 	for _, v := range e.values {
 		if v.Data == nil {
 			continue
@@ -35,7 +37,7 @@
 		case platform.IsConfiguration(v.Key):
 			s.config, a = s.config.withConfiguration(v, e.source)
 		case platform.IsVersion(v.Key):
-			s.config, a = s.config.withVersion(now, v, e.source)
+			s.config, a = s.config.withVersion(now, v, e)
 		}
 		actions = append(actions, a...)
 	}
@@ -64,21 +66,45 @@
 		zap.Int("services", len(cfg.Services)), zap.Int("workspaces", len(cfg.Workspaces)))}
 }
 
-func (c config) withVersion(now time.Time, v platform.Value, source string) (config, []controller.Action) {
+func (c config) withVersion(now time.Time, v platform.Value, e configRead) (config, []controller.Action) {
 	named, err := platform.DecodeVersion(v.Key, v.Data)
 	if err != nil {
-		return c, []controller.Action{note(logger.ConfigurationUnreadable, zap.String("key", v.Key), zap.String("source", source), zap.Error(err))}
+		return c, []controller.Action{note(logger.ConfigurationUnreadable, zap.String("key", v.Key), zap.String("source", e.source), zap.Error(err))}
 	}
-	if named.Version <= c.newest(named.Model).Version {
+	// A naming may be known before the value that names it.
+	if named.Version < c.newest(named.Model).Version || c.values[v.Key].Data != nil && named.Version == c.newest(named.Model).Version {
 		return c, nil
 	}
-	known := slices.Clone(c.versions[named.Model])
-	known = known[max(len(known)-keptVersions+1, 0):]
-	c.versions = cloned(c.versions)
-	c.versions[named.Model] = append(known, forwarder.Version{Version: named.Version, LearnedAt: now})
+	c = c.withNamings(now, []naming{{model: named.Model, version: named.Version}})
 	c = c.withValue(v)
-	return c, []controller.Action{note(logger.VersionNamed,
-		zap.String("model", named.Model), zap.Uint64("version", named.Version), zap.String("source", source))}
+	age := now.Sub(c.newest(named.Model).LearnedAt)
+	actions := []controller.Action{note(logger.VersionNamed, zap.String("model", named.Model),
+		zap.Uint64("version", named.Version), zap.Duration("age", age), zap.String("source", e.source))}
+	if e.live {
+		actions = append(actions, versionSeen{model: named.Model, version: named.Version})
+	}
+	return c, actions
+}
+
+// withNamings takes versions with the time since their naming. What is known
+// already keeps its time, unless it was named earlier.
+func (c config) withNamings(now time.Time, namings []naming) config {
+	for _, n := range namings {
+		at := now.Add(-n.age)
+		known := slices.Clone(c.versions[n.model])
+		i, ok := slices.BinarySearchFunc(known, n.version, func(v forwarder.Version, version uint64) int { return cmp.Compare(v.Version, version) })
+		switch {
+		case ok && !at.Before(known[i].LearnedAt):
+			continue
+		case ok:
+			known[i].LearnedAt = at
+		default:
+			known = slices.Insert(known, i, forwarder.Version{Version: n.version, LearnedAt: at})
+		}
+		c.versions = cloned(c.versions)
+		c.versions[n.model] = known[max(len(known)-keptVersions, 0):]
+	}
+	return c
 }
 
 // keptVersions is how many named versions of a model are remembered: those whose
--- a/internal/gatewayserver/relay.go
+++ b/internal/gatewayserver/relay.go
@@ -36,6 +36,11 @@
 	}
 	if req.GetConfigDigest() != v.config.digest {
 		reply.Config = storedValues(v.config.values)
+		for _, model := range slices.Sorted(maps.Keys(v.config.versions)) {
+			for _, one := range v.config.versions[model] {
+				reply.Versions = append(reply.Versions, &messenger.NamedVersion{Model: model, Version: one.Version, AgeMs: ageMillis(now, one.LearnedAt)})
+			}
+		}
 	}
 	if req.GetListDigest() != v.list.digest {
 		reply.List = storedValues(v.list.values)
@@ -91,7 +96,11 @@
 	if reply.GetConfigKnown() {
 		// The reply was true when it was made, which was after the question.
 		began := asked.Add(-age(reply.GetConfigAgeMs()))
-		if err = s.board.Send(ctx, configRead{values: valuesOf(reply.GetConfig()), began: began, source: address}); err != nil {
+		read := configRead{values: valuesOf(reply.GetConfig()), began: began, source: address}
+		for _, n := range reply.GetVersions() {
+			read.namings = append(read.namings, naming{model: n.GetModel(), version: n.GetVersion(), age: age(n.GetAgeMs())})
+		}
+		if err = s.board.Send(ctx, read); err != nil {
 			return err
 		}
 	}
--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -250,6 +250,8 @@
 	case endpointsChanged:
 		s.applyEndpoints()
 		s.changed.Notify()
+	case versionSeen:
+		go s.noteNaming(a.model, a.version)
 	case beliefWanted:
 		s.askForBelief(a.address)
 	}
@@ -271,8 +273,12 @@
 func (s *Server) configFollower() *follower {
 	return &follower{
 		server: s, store: platform.NewConfigurationStore(s.cfg.Settings.Store), wait: configWait,
-		take: func(values []platform.Value, _ bool, began time.Time) error {
-			return s.board.Send(context.Background(), configRead{values: values, began: began, source: sourceStore})
+		take: func(values []platform.Value, snapshot bool, began time.Time) error {
+			e := configRead{values: values, began: began, source: sourceStore, live: !snapshot}
+			if snapshot {
+				e.namings = s.readNamings()
+			}
+			return s.board.Send(context.Background(), e)
 		},
 		away: func(context.Context) {},
 		back: func(context.Context) {},
--- a/internal/gatewayserver/state.go
+++ b/internal/gatewayserver/state.go
@@ -71,6 +71,11 @@
 		// began is when the reading began: what it shows is at least as new.
 		began  time.Time
 		source string
+		// namings are the ages of versions, as far as others noted them.
+		namings []naming
+		// live says that the values came as they were written, so that versions
+		// were named just now.
+		live bool
 	}
 	listRead struct {
 		values   []platform.Value
@@ -87,6 +92,13 @@
 	}
 )
 
+// naming is a version with the time since it was named.
+type naming struct {
+	model   string
+	version uint64
+	age     time.Duration
+}
+
 // Actions of the controllers.
 type (
 	logLine struct {
@@ -95,6 +107,11 @@
 	}
 	// endpointsChanged asks to hand the endpoints to the forwarder.
 	endpointsChanged struct{}
+	// versionSeen asks to note in the store that a version was named now.
+	versionSeen struct {
+		model   string
+		version uint64
+	}
 	// beliefWanted asks a peer for what it knows.
 	beliefWanted struct{ address string }
 )
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -88,6 +88,14 @@
 		"Another entry was not heard for some time.")
 )
 
+// Events about the times at which versions were named.
+var (
+	NamingsUnread = register(2112, "namings_unread", zapcore.WarnLevel,
+		"It could not be read when versions were named; their bounds count from now on as far as this process knows.")
+	NamingUnkept = register(2113, "naming_unkept", zapcore.WarnLevel,
+		"It could not be kept in the store that a version was named now. Processes that start later rely on the other entries' notes.")
+)
+
 // Events about requests.
 var (
 	RouteChosen = register(3001, "route_chosen", zapcore.InfoLevel,
