--- a/internal/gatewayserver/follow.go
+++ b/internal/gatewayserver/follow.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// configWait is how long a read of the configuration waits for news. What a
-	// read proves is as old as its wait, so it is a small part of the time in
-	// which a revoked key must be out of force.
-	configWait = time.Second
+	// configWait is how long a read of the configuration waits for news. A proof
+	// is one wait old when it comes and two when the next one does, which must be
+	// well below the age from which nothing is denied by it.
+	configWait = 600 * time.Millisecond
 	// listInterval is the time between reads of the list, whose records come all
 	// the time; it is a part of the time in which a leaving endpoint must get no
 	// more work.
