--- a/cmd/flamingoledge-node/cmds/cmds.go
+++ b/cmd/flamingoledge-node/cmds/cmds.go
@@ -87,6 +87,14 @@
 				Flags:       []cli.Flag{settings},
 				Action:      lint,
 			},
+			{
+				Name:        "trace",
+				Usage:       "print what logs tell of a request, by time",
+				ArgsUsage:   "REQUEST_ID [LOG...]",
+				Description: "Reads log files, or standard input without any.\nExample: flamingoledge-node trace 5460bb0955316a12 entry-*.log",
+				Flags:       []cli.Flag{&cli.BoolFlag{Name: flagJSON, Usage: "print the lines as they were written"}},
+				Action:      trace,
+			},
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- /dev/null
+++ b/cmd/flamingoledge-node/cmds/cmds_test.go
@@ -0,0 +1,66 @@
+package cmds_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/cmd/flamingoledge-node/cmds"
+)
+
+const line = `{"time":"t","name":"route_chosen","instance":"edge-1","request_id":"r1","endpoint":"i-1"}`
+
+func run(t *testing.T, input string, args ...string) (string, error) {
+	t.Helper()
+	var out bytes.Buffer
+	c := cmds.New()
+	c.Writer, c.ErrWriter, c.Reader = &out, &out, strings.NewReader(input)
+	err := c.Run(context.Background(), append([]string{"flamingoledge-node"}, args...))
+	return out.String(), err
+}
+
+func TestTrace(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "log")
+	is.NoErr(os.WriteFile(file, []byte(line+"\n"), 0o600))
+	tests := map[string]struct {
+		input string
+		args  []string
+		want  string
+		bad   bool
+	}{
+		"a file":           {args: []string{"trace", "r1", file}, want: "endpoint: i-1"},
+		"standard input":   {input: line, args: []string{"trace", "r1"}, want: "endpoint: i-1"},
+		"lines as written": {input: line, args: []string{"trace", "--json", "r1"}, want: line},
+		"unknown request":  {input: line, args: []string{"trace", "r2"}, bad: true},
+		"no request":       {args: []string{"trace"}, bad: true},
+		"no such file":     {args: []string{"trace", "r1", file + "x"}, bad: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			out, err := run(t, tc.input, tc.args...)
+			is.Equal(err != nil, tc.bad)
+			is.True(strings.Contains(out, tc.want))
+		})
+	}
+}
+
+func TestLint(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "settings.jsonc")
+	good := `{"instance":{"name":"e","availability_zone":"z","region":"r"},"address":"10.0.0.1","node_port":1,"store":"10.0.0.2:1"}`
+	is.NoErr(os.WriteFile(file, []byte(good), 0o600))
+	out, err := run(t, "", "lint", "--settings", file)
+	is.NoErr(err)
+	is.True(strings.Contains(out, "good, for instance e"))
+	is.NoErr(os.WriteFile(file, []byte(strings.Replace(good, "10.0.0.1", "host", 1)), 0o600))
+	_, err = run(t, "", "lint", "--settings", file)
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "field address"))
+}
