--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -51,10 +51,10 @@
 		"full, waits":          {endpoints: endpoints(1, 1), before: fill(1), want: balancer.OutcomeQueued},
 		"full, no time left":   {endpoints: endpoints(1, 1), before: fill(1), change: func(r *balancer.Request) { r.StartBy = at(0) }, want: balancer.OutcomeBusy},
 		"too many wait":        {endpoints: endpoints(1, 1), before: fill(11), want: balancer.OutcomeBusy},
-		"unreachable is left":  {endpoints: endpoints(2, 4), before: fail("a", balancer.ResultUnreachable, 1), want: balancer.OutcomeStarted, endpoint: "b"},
-		"one loss is a chance": {endpoints: endpoints(1, 4), before: fail("a", balancer.ResultLost, 1), want: balancer.OutcomeStarted, endpoint: "a"},
-		"two losses are not":   {endpoints: endpoints(2, 4), before: fail("a", balancer.ResultLost, 2), want: balancer.OutcomeStarted, endpoint: "b"},
-		"refused for a moment": {endpoints: endpoints(2, 4), before: fail("a", balancer.ResultRefused, 1), want: balancer.OutcomeStarted, endpoint: "b"},
+		"unreachable is left":  {endpoints: endpoints(2, 4), before: fail(balancer.ResultUnreachable, 1), want: balancer.OutcomeStarted, endpoint: "b"},
+		"one loss is a chance": {endpoints: endpoints(1, 4), before: fail(balancer.ResultLost, 1), want: balancer.OutcomeStarted, endpoint: "a"},
+		"two losses are not":   {endpoints: endpoints(2, 4), before: fail(balancer.ResultLost, 2), want: balancer.OutcomeStarted, endpoint: "b"},
+		"refused for a moment": {endpoints: endpoints(2, 4), before: fail(balancer.ResultRefused, 1), want: balancer.OutcomeStarted, endpoint: "b"},
 		"the own region first": {
 			endpoints: []balancer.Endpoint{{ID: "a", Region: "q", Slots: 100, Ready: true}, {ID: "b", Region: "r", Slots: 100, Ready: true}},
 			want:      balancer.OutcomeStarted, endpoint: "b",
@@ -90,11 +90,11 @@
 	}
 }
 
-// fail lets requests at an endpoint end badly.
-func fail(id string, r balancer.Result, times uint64) func(b *balancer.Balancer) {
+// fail lets requests at the endpoint a end badly.
+func fail(r balancer.Result, times uint64) func(b *balancer.Balancer) {
 	return func(b *balancer.Balancer) {
 		for i := range times {
-			b.Ended(at(0), id, i+1, r)
+			b.Ended(at(0), "a", i+1, r)
 		}
 	}
 }
