--- a/internal/agentserver/server.go
+++ b/internal/agentserver/server.go
@@ -58,14 +58,14 @@
 
 // Server is one sidecar.
 type Server struct {
-	cfg    Config
-	self   string
-	runner *platform.Runner
-	socket *gossiper.Socket
-	stager *stager.Stager
-	store  *transferrer.Store
-	up     *pacer.Pacer
-	dialer connector.Dialer
+	cfg      Config
+	self     string
+	endpoint *platform.Endpoint
+	socket   *gossiper.Socket
+	stager   *stager.Stager
+	store    *transferrer.Store
+	up       *pacer.Pacer
+	dialer   connector.Dialer
 
 	// entries are told of the load.
 	entries atomic.Pointer[[]string]
@@ -82,12 +82,12 @@
 func New(cfg Config) (s *Server, err error) {
 	n := cfg.Settings
 	s = &Server{
-		cfg:     cfg,
-		self:    net.JoinHostPort(n.Address, strconv.Itoa(n.NodePort)),
-		runner:  platform.NewRunner(n.EndpointAddress),
-		store:   transferrer.NewStore(),
-		plans:   make(chan *messenger.PlanReply, 1),
-		started: uint64(cfg.Clock().UnixNano()),
+		cfg:      cfg,
+		self:     net.JoinHostPort(n.Address, strconv.Itoa(n.NodePort)),
+		endpoint: platform.NewEndpoint(n.EndpointAddress),
+		store:    transferrer.NewStore(),
+		plans:    make(chan *messenger.PlanReply, 1),
+		started:  uint64(cfg.Clock().UnixNano()),
 	}
 	if s.socket, err = gossiper.Listen(s.self); err != nil {
 		return nil, err
@@ -97,7 +97,7 @@
 	s.up = pacer.New(link)
 	s.stager = stager.New(stager.Config{
 		Self:           planner.Member{Instance: s.self, Region: n.Instance.Region},
-		Endpoint:       s.runner,
+		Endpoint:       s.endpoint,
 		Store:          s.store,
 		Dialer:         &s.dialer,
 		Clock:          cfg.Clock,
@@ -143,7 +143,7 @@
 			s.takePlan(p)
 		default:
 		}
-		r, err := s.runner.Report()
+		r, err := s.endpoint.Report()
 		if err != nil {
 			if !failing {
 				logger.Log(s.cfg.Logger, logger.EndpointLost, zap.String("endpoint", s.cfg.Settings.EndpointAddress), zap.Error(err))
