Take SIGHUP from the first moment of a process; wait in a test for what it needs

The test of a caller that leaves while it waits failed once beside load: it freed the place before the forwarder could know that the caller had left; it now waits for that, and expects the same.

--- a/cmd/flamingoledge-node/cmds/cmds.go
+++ b/cmd/flamingoledge-node/cmds/cmds.go
@@ -42,9 +42,14 @@
 // core, and memory is the dearer of the two on small instances.
 const gcPercent = 25
 
+// hups takes the requests to read the settings again.
+var hups = make(chan os.Signal, 1)
+
 // Main runs the program and returns its exit code. SIGTERM and SIGINT end the
 // context of the command, which then drains.
 func Main(args []string) int {
+	// First of all: a process that has just started must not end by SIGHUP.
+	signal.Notify(hups, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	err := New().Run(ctx, args)
@@ -170,9 +175,6 @@
 // watchReload reads the settings again at SIGHUP. Good ones are logged with what
 // needs a restart; bad ones change nothing.
 func watchReload(ctx context.Context, file, role string, n *configurator.Node, log *zap.Logger) {
-	hups := make(chan os.Signal, 1)
-	signal.Notify(hups, syscall.SIGHUP)
-	defer signal.Stop(hups)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -388,6 +388,8 @@
 	second, cancelSecond := context.WithCancel(context.Background())
 	time.AfterFunc(30*time.Millisecond, cancelSecond)
 	f.call(second, t, "stream")
+	// Until the forwarder has learned that the caller left, it may still send.
+	waitFor(t, func() bool { return f.forwarder.InFlight() == 1 })
 	cancelFirst()
 	waitFor(t, func() bool { return len(e.left) > 0 })
 	time.Sleep(100 * time.Millisecond)
