Drop what nothing uses, and find a report's endpoint without sorting the list

Each load report sorted all endpoints to find one by its address. A waiting request kept a time, an answer a length, the pool and the predictor a function that nothing read or called. Behaviour is the same.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -103,8 +103,6 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Length is the body's length, -1 if it is not told.
-	Length int64
 
 	pool *Pool
 	conn *conn
@@ -213,17 +211,6 @@
 	return err == nil && silent
 }
 
-// Drop closes the idle connections to an address, as when its endpoint leaves.
-func (p *Pool) Drop(address string) {
-	p.mu.Lock()
-	cs := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, c := range cs {
-		_ = c.Close()
-	}
-}
-
 // Prune closes the connections that were idle for too long.
 func (p *Pool) Prune(now time.Time) {
 	p.mu.Lock()
@@ -301,7 +288,7 @@
 			continue
 		}
 		if r.IsOwn == nil || r.IsOwn(a.resp.Header) {
-			a.Status, a.Header, a.Length = a.resp.StatusCode, a.resp.Header, a.resp.ContentLength
+			a.Status, a.Header = a.resp.StatusCode, a.resp.Header
 			a.reusable = !skipped && !a.resp.Close && a.isFramed()
 			return nil
 		}
--- a/internal/gatewayserver/presence.go
+++ b/internal/gatewayserver/presence.go
@@ -134,11 +134,9 @@
 	if old.born != t.born || old.version != t.version || old.switching != t.switching || now.Sub(old.at) > toldFor/3 {
 		s.board.Post(sidecarTold{address: l.GetEndpoint(), told: t})
 	}
-	for _, e := range v.list.endpoints.All() {
-		if e.Address == l.GetEndpoint() {
-			s.forward.Report(e.Service, e.ID, now.Add(-reportLag), balancer.Load{
-				Running: int(l.GetActive()), Queued: int(l.GetQueued()), Pace: float64(l.GetPace()),
-			})
-		}
+	for _, e := range v.list.endpoints.At(l.GetEndpoint()) {
+		s.forward.Report(e.Service, e.ID, now.Add(-reportLag), balancer.Load{
+			Running: int(l.GetActive()), Queued: int(l.GetQueued()), Pace: float64(l.GetPace()),
+		})
 	}
 }
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -114,17 +114,12 @@
 	smoothing = 0.05
 )
 
-type waiter struct {
-	request Request
-	since   time.Time
-}
-
 // Balancer is the state of one service. It has one owner at a time.
 type Balancer struct {
 	cfg     Config
 	members map[string]*member
 	order   []*member
-	waiting []waiter
+	waiting []Request
 	// running are the starts of the requests at the endpoints, taken the mean
 	// time that one is there.
 	running map[uint64]time.Time
@@ -194,7 +189,7 @@
 
 // mustQueue tells whether requests that go before r wait already.
 func (b *Balancer) mustQueue(r Request) bool {
-	return len(b.waiting) > 0 && !before(r, b.waiting[0].request)
+	return len(b.waiting) > 0 && !before(r, b.waiting[0])
 }
 
 // before orders waiting requests: those that can be in time, the more urgent
@@ -214,8 +209,8 @@
 
 // queue lets a request wait if a place is expected in time.
 func (b *Balancer) queue(now time.Time, r Request) Decision {
-	at, _ := slices.BinarySearchFunc(b.waiting, r, func(w waiter, r Request) int {
-		if before(w.request, r) {
+	at, _ := slices.BinarySearchFunc(b.waiting, r, func(w, r Request) int {
+		if before(w, r) {
 			return -1
 		}
 		return 1
@@ -224,7 +219,7 @@
 	if !now.Before(r.StartBy) || len(b.waiting) >= b.cfg.MaxWaiting || now.Add(b.expectedWait(at)).After(r.StartBy) {
 		return busy
 	}
-	b.waiting = slices.Insert(b.waiting, at, waiter{request: r, since: now})
+	b.waiting = slices.Insert(b.waiting, at, r)
 	return Decision{ID: r.ID, Outcome: OutcomeQueued, Waiting: len(b.waiting)}
 }
 
@@ -259,7 +254,7 @@
 // order.
 func (b *Balancer) startWaiting(now time.Time) (started []Decision) {
 	for i := 0; i < len(b.waiting); {
-		r := b.waiting[i].request
+		r := b.waiting[i]
 		m := b.pick(now, r)
 		if m == nil {
 			if len(r.Exclude) == 0 && r.Version == 0 && r.LeastVersion == 0 {
@@ -277,11 +272,11 @@
 
 // Expire refuses the waiting requests whose last useful start is over.
 func (b *Balancer) Expire(now time.Time) (refused []Decision) {
-	b.waiting = slices.DeleteFunc(b.waiting, func(w waiter) bool {
-		if now.Before(w.request.StartBy) {
+	b.waiting = slices.DeleteFunc(b.waiting, func(w Request) bool {
+		if now.Before(w.StartBy) {
 			return false
 		}
-		refused = append(refused, Decision{ID: w.request.ID, Outcome: OutcomeBusy, Waiting: len(b.waiting)})
+		refused = append(refused, Decision{ID: w.ID, Outcome: OutcomeBusy, Waiting: len(b.waiting)})
 		return true
 	})
 	for i := range refused {
@@ -294,7 +289,7 @@
 // false if the request does not wait.
 func (b *Balancer) Abandon(id uint64) bool {
 	n := len(b.waiting)
-	b.waiting = slices.DeleteFunc(b.waiting, func(w waiter) bool { return w.request.ID == id })
+	b.waiting = slices.DeleteFunc(b.waiting, func(w Request) bool { return w.ID == id })
 	return len(b.waiting) < n
 }
 
--- a/pkg/predictor/predictor.go
+++ b/pkg/predictor/predictor.go
@@ -1,5 +1,5 @@
 // Package predictor computes from an engine's published figures when a request's
-// first piece comes and how long a request runs.
+// first piece comes.
 package predictor
 
 import (
@@ -39,13 +39,6 @@
 	return time.Duration(halfOfAPass*float64(pass)) + pass + backlog + Read(e, prompt)
 }
 
-// Whole returns how long a request runs from its first piece to its last beside
-// running others.
-func Whole(e *resolver.Engine, running, prompt, answer int) time.Duration {
-	passes := float64(answer) / float64(e.Stride)
-	return time.Duration(passes * float64(Pass(e, running, float64(prompt+answer/2))+othersRead(e, running)))
-}
-
 // othersRead is how long a pass reads prompts that take the places of running
 // requests which end.
 func othersRead(e *resolver.Engine, running int) time.Duration {
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -53,6 +53,17 @@
 	return es
 }
 
+// At returns the endpoints with an address, of which there is one unless an address
+// was taken over a moment ago.
+func (l List) At(address string) (es []Endpoint) {
+	for _, e := range l.endpoints {
+		if e.Address == address {
+			es = append(es, e)
+		}
+	}
+	return es
+}
+
 // Len returns how many endpoints there are.
 func (l List) Len() int { return len(l.endpoints) }
 
