--- a/internal/entryserver/server.go
+++ b/internal/entryserver/server.go
@@ -143,6 +143,8 @@
 	shutdown, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	_ = server.ShutdownWithContext(shutdown)
+	// A server that has not begun to serve yet does not know its listener.
+	_ = s.cfg.HTTP.Close()
 	stop()
 	s.conns.Close()
 	wg.Wait()
