--- a/internal/emulator/http.go
+++ b/internal/emulator/http.go
@@ -6,9 +6,9 @@
 	"net"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"flamingoledge.org/flamingoledge/internal/httpserver"
 	"flamingoledge.org/flamingoledge/internal/logger"
 )
 
@@ -25,17 +25,7 @@
 		CloseOnShutdown:       true,
 		StreamRequestBody:     streamBodies,
 	}
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(lis) }()
-	select {
-	case err := <-failed:
-		return eris.Wrap(err, "serve HTTP")
-	case <-ctx.Done():
-	}
-	stop, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	_ = server.ShutdownWithContext(stop)
-	return nil
+	return httpserver.Run(ctx, server, lis, shutdownTimeout)
 }
 
 func decodeThen[T any](ctx *fasthttp.RequestCtx, then func(T)) {
--- a/internal/entryserver/server.go
+++ b/internal/entryserver/server.go
@@ -17,6 +17,7 @@
 	"flamingoledge.org/flamingoledge/internal/announcer"
 	"flamingoledge.org/flamingoledge/internal/auditor"
 	"flamingoledge.org/flamingoledge/internal/connector"
+	"flamingoledge.org/flamingoledge/internal/httpserver"
 	"flamingoledge.org/flamingoledge/internal/keeper"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
@@ -132,7 +133,13 @@
 	wg.Go(func() { s.catchUp(background) })
 	wg.Go(func() { s.announcer.Run(background) })
 	wg.Go(func() { failed <- connector.Serve(background, s.cfg.Control, s.cfg.ServerTLS, s.mux()) })
-	wg.Go(func() { failed <- server.Serve(s.cfg.HTTP) })
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
+	served := make(chan struct{})
+	wg.Go(func() {
+		defer close(served)
+		failed <- httpserver.Run(serving, server, s.cfg.HTTP, shutdownTimeout)
+	})
 	logger.Log(s.cfg.Logger, logger.ProcessStarted, zap.String("address", s.cfg.Address), zap.String("http_address", s.cfg.HTTPAddress))
 	var err error
 	select {
@@ -140,11 +147,8 @@
 		s.drain()
 	case err = <-failed:
 	}
-	shutdown, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	_ = server.ShutdownWithContext(shutdown)
-	// A server that has not begun to serve yet does not know its listener.
-	_ = s.cfg.HTTP.Close()
+	stopServing()
+	<-served
 	stop()
 	s.conns.Close()
 	wg.Wait()
--- a/internal/monitor/monitor.go
+++ b/internal/monitor/monitor.go
@@ -11,6 +11,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"flamingoledge.org/flamingoledge/internal/httpserver"
 )
 
 const (
@@ -36,14 +38,7 @@
 		rc.SetContentType("application/json")
 		_, _ = fmt.Fprintf(rc, "{%q: %s, %q: %s}\n", "flamingoledge", counters, "memstats", expvar.Get("memstats"))
 	}}
-	defer context.AfterFunc(ctx, func() { shutDown(server) })()
-	return eris.Wrap(server.Serve(lis), "serve metrics")
-}
-
-func shutDown(server *fasthttp.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	_ = server.ShutdownWithContext(ctx)
+	return eris.Wrap(httpserver.Run(ctx, server, lis, shutdownTimeout), "metrics")
 }
 
 // PathText is where ServeText serves.
@@ -66,6 +61,5 @@
 			_, _ = fmt.Fprintf(rc, "%s %s\n", kv.Key, kv.Value)
 		})
 	}}
-	defer context.AfterFunc(ctx, func() { shutDown(server) })()
-	return eris.Wrap(server.Serve(lis), "serve metrics")
+	return eris.Wrap(httpserver.Run(ctx, server, lis, shutdownTimeout), "metrics")
 }
