Try paused endpoints where all that may run a request are paused

Cause: after losses everywhere, as behind a cut of this process's own network, requests were refused for up to 3 s after the endpoints were well again. Now each gets one request at a time; the test refused before.

--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -158,3 +158,50 @@
 	b.Report(at(60), at(60), "a", balancer.Load{Running: 20}, 0)
 	is.Equal(len(b.Ended(at(61), "a", 1, balancer.ResultAnswered)), 0) // too many there: a place is not taken again
 }
+
+func TestPausedEndpointsAreTried(t *testing.T) {
+	lose := func(ids ...string) func(b *balancer.Balancer) {
+		return func(b *balancer.Balancer) {
+			for range 8 { // the pauses reach their longest
+				for _, id := range ids {
+					b.Ended(at(0), id, 0, balancer.ResultUnreachable)
+				}
+			}
+		}
+	}
+	tests := map[string]struct {
+		before func(b *balancer.Balancer)
+		want   []string
+	}{
+		"not while another one is well": {before: lose("a", "b"), want: []string{"c", "c"}},
+		"one request each when all are paused": {
+			before: lose("a", "b", "c"),
+			want:   []string{"a", "b", "c", ""},
+		},
+		"not while another one is only full": {
+			before: func(b *balancer.Balancer) {
+				lose("a", "b")(b)
+				b.Ended(at(0), "c", 0, balancer.ResultRefused)
+			},
+			want: []string{""},
+		},
+		"one that answers is well again": {
+			before: func(b *balancer.Balancer) {
+				lose("a", "b", "c")(b)
+				b.Ended(at(1), "b", 0, balancer.ResultAnswered)
+			},
+			want: []string{"b", "b", "b"},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(endpoints(3, 8))
+			tc.before(b)
+			for i, want := range tc.want {
+				d := b.Offer(at(2), request(uint64(i+1), at(2)))
+				is.Equal(d.Endpoint.ID, want)
+			}
+		})
+	}
+}
--- a/pkg/balancer/member.go
+++ b/pkg/balancer/member.go
@@ -263,6 +263,23 @@
 	return false
 }
 
+// pickPaused returns the endpoint whose pause ends first, where all that may run
+// the request are paused after failures: their failures say less of them than of
+// this process's network or of a moment that is over. Each gets one request at a
+// time. It returns nil if any other endpoint is only full.
+func (b *Balancer) pickPaused(now time.Time, r Request) (first *member) {
+	for _, m := range b.order {
+		switch {
+		case !m.mayRun(r):
+		case !m.isTrial() || !now.Before(m.pausedUntil):
+			return nil
+		case m.own == 0 && (first == nil || m.pausedUntil.Before(first.pausedUntil)):
+			first = m
+		}
+	}
+	return first
+}
+
 // isReadInTime tells whether an engine comes to a request's prompt in time, and
 // without a pause for those that it runs.
 func (b *Balancer) isReadInTime(now time.Time, m *member, r Request, backlog time.Duration) bool {
@@ -279,8 +296,16 @@
 	return own == 0 || own+r.Read <= time.Duration(ownShare*float64(backlogMost)/float64(max(b.cfg.Sharers, 1)))
 }
 
-// pick returns the endpoint with the most room, nil if none has a place.
-func (b *Balancer) pick(now time.Time, r Request) (best *member) {
+// pick returns the endpoint that gets the request, nil if none has a place.
+func (b *Balancer) pick(now time.Time, r Request) *member {
+	if m := b.pickRoomiest(now, r); m != nil {
+		return m
+	}
+	return b.pickPaused(now, r)
+}
+
+// pickRoomiest returns the endpoint with the most room.
+func (b *Balancer) pickRoomiest(now time.Time, r Request) (best *member) {
 	bestCost := 0.0
 	random := r.Random
 	for _, m := range b.order {
