Give each engine a home among the entries

Cause: each entry sees the others' requests only with the next report, so that at full load several take the last place of an engine and their requests wait inside it. Change: engines of a region are split evenly over the entries there; an entry fills its own ones to the last place and leaves two at the others'. Entries that come and go apportion anew, which also tells the balancer of their number at once.

--- a/internal/gatewayserver/endpoints.go
+++ b/internal/gatewayserver/endpoints.go
@@ -8,6 +8,7 @@
 
 	"flamingoledge.org/flamingoledge/internal/forwarder"
 	"flamingoledge.org/flamingoledge/internal/logger"
+	"flamingoledge.org/flamingoledge/pkg/apportioner"
 	"flamingoledge.org/flamingoledge/pkg/balancer"
 	"flamingoledge.org/flamingoledge/pkg/controller"
 	"flamingoledge.org/flamingoledge/pkg/registrar"
@@ -149,6 +150,34 @@
 	return byService
 }
 
+// withHomes says of each engine that may get requests whose places they are first:
+// those of this entry or of one of its peers.
+func (s *state) withHomes(self apportioner.Entry, es []balancer.Endpoint) {
+	entries := []apportioner.Entry{self}
+	for address, p := range s.peers {
+		if !p.leaving {
+			entries = append(entries, apportioner.Entry{Name: address, Region: p.region})
+		}
+	}
+	var ready []apportioner.Endpoint
+	for _, e := range es {
+		if e.Ready {
+			ready = append(ready, apportioner.Endpoint{ID: e.ID, Region: e.Region})
+		}
+	}
+	homes := apportioner.Homes(entries, ready)
+	for i := range es {
+		switch homes[es[i].ID] {
+		case "":
+			es[i].Home = balancer.HomeNone
+		case self.Name:
+			es[i].Home = balancer.HomeHere
+		default:
+			es[i].Home = balancer.HomeElsewhere
+		}
+	}
+}
+
 // loaded returns the version that an engine has loaded, 0 for none, and whether
 // it is about to load another.
 func (s *state) loaded(now time.Time, e registrar.Endpoint) (version uint64, switching bool) {
--- /dev/null
+++ b/internal/gatewayserver/endpoints_test.go
@@ -0,0 +1,73 @@
+package gatewayserver
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/pkg/apportioner"
+	"flamingoledge.org/flamingoledge/pkg/balancer"
+	"flamingoledge.org/flamingoledge/pkg/controller"
+)
+
+func TestWithHomes(t *testing.T) {
+	self := apportioner.Entry{Name: "self", Region: "r"}
+	here, elsewhere, none := balancer.HomeHere, balancer.HomeElsewhere, balancer.HomeNone
+	tests := map[string]struct {
+		peers map[string]peer
+		ready []bool
+		// count is how many endpoints have each kind of home.
+		count map[balancer.Home]int
+	}{
+		"alone":                  {ready: []bool{true, true}, count: map[balancer.Home]int{here: 2}},
+		"with a peer":            {peers: map[string]peer{"p": {region: "r"}}, ready: []bool{true, true}, count: map[balancer.Home]int{here: 1, elsewhere: 1}},
+		"a peer that leaves":     {peers: map[string]peer{"p": {region: "r", leaving: true}}, ready: []bool{true, true}, count: map[balancer.Home]int{here: 2}},
+		"a peer elsewhere":       {peers: map[string]peer{"p": {region: "q"}}, ready: []bool{true, true}, count: map[balancer.Home]int{here: 2}},
+		"not ready has none":     {ready: []bool{true, false}, count: map[balancer.Home]int{here: 1, none: 1}},
+		"fewer than the entries": {peers: map[string]peer{"p": {region: "r"}}, ready: []bool{true}, count: map[balancer.Home]int{none: 1}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var es []balancer.Endpoint
+			for i, ready := range tc.ready {
+				es = append(es, balancer.Endpoint{ID: string(rune('a' + i)), Region: "r", Ready: ready})
+			}
+			(&state{peers: tc.peers}).withHomes(self, es)
+			count := map[balancer.Home]int{}
+			for _, e := range es {
+				count[e.Home]++
+			}
+			is.Equal(count, tc.count)
+		})
+	}
+}
+
+// TestPeersChangeHomes checks that endpoints are apportioned anew when an entry
+// comes, leaves or falls silent.
+func TestPeersChangeHomes(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := peersController{self: "self"}
+	apportions := func(actions []controller.Action) bool {
+		for _, a := range actions {
+			if _, ok := a.(endpointsChanged); ok {
+				return true
+			}
+		}
+		return false
+	}
+	heard := &messenger.Presence{Address: "p", Instance: "p", Region: "r"}
+	s, actions := p.Handle(now, state{}, presence{heard: heard})
+	is.True(apportions(actions)) // it comes
+	s, actions = p.Handle(now, s, presence{heard: heard})
+	is.True(!apportions(actions)) // nothing new
+	s, actions = p.Handle(now, s, presence{heard: &messenger.Presence{Address: "p", Instance: "p", Region: "r", Leaving: true}})
+	is.True(apportions(actions)) // it leaves
+	s, actions = p.Handle(now.Add(peerTimeout-1), s, controller.Tick{})
+	is.True(!apportions(actions)) // one silence is none
+	_, actions = p.Handle(now.Add(peerTimeout), s, controller.Tick{})
+	is.True(apportions(actions)) // it is silent
+}
--- a/internal/gatewayserver/peers.go
+++ b/internal/gatewayserver/peers.go
@@ -41,12 +41,15 @@
 	if h.GetAddress() == p.self || h.GetAddress() == "" {
 		return s, nil
 	}
-	_, known := s.peers[h.GetAddress()]
+	old, known := s.peers[h.GetAddress()]
 	s.peers = cloned(s.peers)
 	s.peers[h.GetAddress()] = peer{instance: h.GetInstance(), region: h.GetRegion(), heardAt: now, leaving: h.GetLeaving()}
 	if !known {
 		actions = append(actions, note(logger.PeerFound, zap.String("peer", h.GetInstance()), zap.String("address", h.GetAddress())))
 	}
+	if !known || old.leaving != h.GetLeaving() {
+		actions = append(actions, endpointsChanged{})
+	}
 	var lacksConfig, lacksList bool
 	s.config, lacksConfig = s.config.compare(now, h)
 	s.list, lacksList = s.list.compare(now, h)
@@ -113,7 +116,8 @@
 		}
 		s.peers = maps.Clone(s.peers)
 		delete(s.peers, address)
-		actions = append(actions, note(logger.PeerLost, zap.String("peer", p.instance), zap.String("address", address)))
+		actions = append(actions, endpointsChanged{},
+			note(logger.PeerLost, zap.String("peer", p.instance), zap.String("address", address)))
 	}
 	return s, actions
 }
--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -28,6 +28,7 @@
 	"flamingoledge.org/flamingoledge/internal/messenger"
 	"flamingoledge.org/flamingoledge/internal/notifier"
 	"flamingoledge.org/flamingoledge/internal/pauser"
+	"flamingoledge.org/flamingoledge/pkg/apportioner"
 	"flamingoledge.org/flamingoledge/pkg/controller"
 	"flamingoledge.org/flamingoledge/platform"
 )
@@ -261,7 +262,11 @@
 func (s *Server) applyEndpoints() {
 	view := s.board.View()
 	byService := view.endpoints(s.cfg.Clock(), s.cfg.Settings.Regions)
+	self := apportioner.Entry{Name: s.self, Region: s.cfg.Settings.Instance.Region}
 	for name, es := range byService {
+		if engineOf(view.config.table, name) != nil {
+			view.withHomes(self, es)
+		}
 		s.forward.SetEndpoints(name, es)
 	}
 	for _, name := range gone(s.forward.Services(), byService) {
--- /dev/null
+++ b/pkg/apportioner/apportioner.go
@@ -0,0 +1,71 @@
+// Package apportioner gives each endpoint a home among the entries that send to
+// it, so that under load few entries compete for the same places.
+//
+// The load it answers is many entries that fill the same endpoints: each sees the
+// others' requests only with the next report, so that several take the last place
+// at once and their requests wait inside the endpoint.
+package apportioner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Entry is a process that sends to endpoints.
+type Entry struct {
+	Name   string
+	Region string
+}
+
+// Endpoint is one of the endpoints of a service.
+type Endpoint struct {
+	ID     string
+	Region string
+}
+
+// Homes returns the name of the home of each endpoint by its ID. The endpoints of
+// a region are split evenly over the entries there, and those of a region without
+// entries over all entries. Where there are fewer endpoints than entries, they have
+// no home. Entries that know the same members come to the same result, and an
+// endpoint more or less moves few homes.
+func Homes(entries []Entry, endpoints []Endpoint) map[string]string {
+	byRegion := map[string][]string{}
+	var all []string
+	for _, e := range entries {
+		byRegion[e.Region] = append(byRegion[e.Region], e.Name)
+		all = append(all, e.Name)
+	}
+	wanting := map[string][]string{}
+	var elsewhere []string
+	for _, e := range endpoints {
+		if len(byRegion[e.Region]) == 0 {
+			elsewhere = append(elsewhere, e.ID)
+			continue
+		}
+		wanting[e.Region] = append(wanting[e.Region], e.ID)
+	}
+	homes := make(map[string]string, len(endpoints))
+	for region, ids := range wanting {
+		split(homes, byRegion[region], ids)
+	}
+	split(homes, all, elsewhere)
+	return homes
+}
+
+// split gives each entry a run of the endpoints in the order of their hashes.
+func split(homes map[string]string, names, ids []string) {
+	if len(names) == 0 || len(ids) < len(names) {
+		return
+	}
+	slices.SortFunc(names, byHash)
+	slices.SortFunc(ids, byHash)
+	for i, id := range ids {
+		homes[id] = names[i*len(names)/len(ids)]
+	}
+}
+
+func byHash(a, b string) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+}
--- /dev/null
+++ b/pkg/apportioner/apportioner_test.go
@@ -0,0 +1,83 @@
+package apportioner_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/pkg/apportioner"
+)
+
+func entries(region string, n int) (es []apportioner.Entry) {
+	for i := range n {
+		es = append(es, apportioner.Entry{Name: fmt.Sprintf("%s-entry-%d", region, i), Region: region})
+	}
+	return es
+}
+
+func endpoints(region string, n int) (es []apportioner.Endpoint) {
+	for i := range n {
+		es = append(es, apportioner.Endpoint{ID: fmt.Sprintf("%s-endpoint-%d", region, i), Region: region})
+	}
+	return es
+}
+
+func TestHomes(t *testing.T) {
+	tests := map[string]struct {
+		entries   []apportioner.Entry
+		endpoints []apportioner.Endpoint
+		// homes is how many endpoints have one; least and most how many an entry
+		// is the home of.
+		homes, least, most int
+	}{
+		"nothing":                  {},
+		"no entries":               {endpoints: endpoints("a", 3)},
+		"one entry":                {entries: entries("a", 1), endpoints: endpoints("a", 3), homes: 3, least: 3, most: 3},
+		"evenly":                   {entries: entries("a", 5), endpoints: endpoints("a", 16), homes: 16, least: 3, most: 4},
+		"fewer than entries":       {entries: entries("a", 5), endpoints: endpoints("a", 4)},
+		"by region":                {entries: append(entries("a", 2), entries("b", 1)...), endpoints: append(endpoints("a", 4), endpoints("b", 2)...), homes: 6, least: 2, most: 2},
+		"a region without entries": {entries: entries("a", 2), endpoints: endpoints("b", 4), homes: 4, least: 2, most: 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			homes := apportioner.Homes(tc.entries, tc.endpoints)
+			is.Equal(len(homes), tc.homes)
+			count := map[string]int{}
+			for _, name := range homes {
+				count[name]++
+			}
+			if tc.homes == 0 {
+				return
+			}
+			for _, e := range tc.entries {
+				is.True(count[e.Name] >= tc.least)
+				is.True(count[e.Name] <= tc.most)
+			}
+		})
+	}
+}
+
+func TestHomesDoNotDependOnOrder(t *testing.T) {
+	is := is.New(t)
+	es, ps := entries("a", 7), endpoints("a", 40)
+	want := apportioner.Homes(es, ps)
+	slices.Reverse(es)
+	slices.Reverse(ps)
+	is.Equal(apportioner.Homes(es, ps), want)
+}
+
+func TestAnEndpointMoreMovesFewHomes(t *testing.T) {
+	is := is.New(t)
+	es := entries("a", 7)
+	before := apportioner.Homes(es, endpoints("a", 40))
+	moved := 0
+	for id, home := range apportioner.Homes(es, endpoints("a", 41)) {
+		if old, ok := before[id]; ok && old != home {
+			moved++
+		}
+	}
+	is.True(moved <= len(es)) // at most one at each end of a run
+}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -31,12 +31,24 @@
 	Sharers int
 }
 
+// Home says whose requests an endpoint's places are for first.
+type Home int
+
+// Homes of an endpoint.
+const (
+	// HomeNone is an endpoint that all processes use alike.
+	HomeNone Home = iota
+	HomeHere
+	HomeElsewhere
+)
+
 // Endpoint is what is known of an endpoint apart from its load.
 type Endpoint struct {
 	ID      string
 	Address string
 	Region  string
 	Slots   int
+	Home    Home
 	// Ready says that it may get new work: it is not leaving and holds what the
 	// service needs.
 	Ready bool
--- a/pkg/balancer/member.go
+++ b/pkg/balancer/member.go
@@ -60,8 +60,15 @@
 	// that is not read yet, as the others can't see it.
 	ownShare = 1.5
 	// spreadPlaces is by how many places endpoints may differ and be chosen alike,
-	// so that processes with the same reports do not meet at one of them.
+	// so that processes with the same reports do not meet at one of them. Those
+	// that have their home here are safe from that.
 	spreadPlaces = 4.0
+	// homeReserve is how many free places of an endpoint are left to its home,
+	// about what that takes until the others hear of it.
+	homeReserve = 2.0
+	// elsewherePenalty is what an endpoint costs that has its home elsewhere, in
+	// shares of its capacity: it is used when the own ones are full.
+	elsewherePenalty = 1.0
 	// maxRecent bounds the remembered starts of an endpoint.
 	maxRecent = 64
 )
@@ -147,13 +154,25 @@
 		}
 		return
 	}
-	part := free / float64(max(sharers, 1))
+	part := m.freeShare(free, sharers)
 	m.limit = m.own + int(part)
 	if float64(random>>11)/(1<<53) < part-math.Floor(part) {
 		m.limit++
 	}
 }
 
+// freeShare is the part of the free places that is for this process.
+func (m *member) freeShare(free float64, sharers int) float64 {
+	switch m.Home {
+	case HomeHere:
+		return free
+	case HomeElsewhere:
+		return max(free-homeReserve, 0) / float64(max(sharers, 1))
+	default:
+		return free / float64(max(sharers, 1))
+	}
+}
+
 // mayTake tells whether the endpoint may get one more own request.
 func (m *member) mayTake(now time.Time, sharers int) bool {
 	if now.Sub(m.reportedAt) < staleAfter {
@@ -293,7 +312,7 @@
 	for _, p := range m.pending {
 		own += p.read
 	}
-	return own == 0 || own+r.Read <= time.Duration(ownShare*float64(backlogMost)/float64(max(b.cfg.Sharers, 1)))
+	return own == 0 || m.Home == HomeHere || own+r.Read <= time.Duration(ownShare*float64(backlogMost)/float64(max(b.cfg.Sharers, 1)))
 }
 
 // pick returns the endpoint that gets the request, nil if none has a place.
@@ -321,7 +340,13 @@
 		if !b.isReadInTime(now, m, r, backlog) {
 			continue
 		}
-		cost := (load+spreadPlaces*float64(random>>40)/(1<<24))/capacity + backlogCost*backlog.Seconds()
+		cost := load/capacity + backlogCost*backlog.Seconds()
+		if m.Home != HomeHere {
+			cost += spreadPlaces * float64(random>>40) / (1 << 24) / capacity
+		}
+		if m.Home == HomeElsewhere {
+			cost += elsewherePenalty
+		}
 		if m.Region != b.cfg.Region {
 			cost += b.cfg.RemotePenalty
 		}
--- a/pkg/balancer/replay_test.go
+++ b/pkg/balancer/replay_test.go
@@ -33,6 +33,13 @@
 	emptyShare float64
 	emptyUntil time.Duration
 	length     time.Duration
+	// slots are those of an engine, 0 for the usual ones.
+	slots int
+	// homes says that each engine has its home at one of the entries.
+	homes bool
+	// busiest is the share of the requests that come to the first entry; 0 for
+	// an even share.
+	busiest float64
 }
 
 // outcome counts what became of the requests.
@@ -60,6 +67,7 @@
 // requests, up to a limit, which is what is compared with.
 type replay struct {
 	load    load
+	figures resolver.Engine
 	naive   int
 	now     time.Duration
 	events  events
@@ -68,9 +76,11 @@
 	entries []*balancer.Balancer
 	own     [][]int
 	calls   map[uint64]*call
-	rng     *rand.Rand
-	result  outcome
-	start   time.Time
+	// arrivals are the same for all that is compared, whatever else is random.
+	arrivals *rand.Rand
+	rng      *rand.Rand
+	result   outcome
+	start    time.Time
 }
 
 type call struct {
@@ -99,13 +109,31 @@
 	return e
 }
 
-func play(l load, naive int) outcome {
+// play plays a load some times with different arrivals.
+func play(l load, naive, times int) (sum outcome) {
+	for seed := range uint64(times) {
+		o := playOnce(l, naive, seed)
+		sum.asked += o.asked
+		sum.inTime += o.inTime
+		sum.late += o.late
+		sum.refused += o.refused
+	}
+	return sum
+}
+
+// plays evens out what single arrivals do to the figures.
+const plays = 4
+
+func playOnce(l load, naive int, seed uint64) outcome {
 	r := &replay{
-		load: l, naive: naive, calls: map[uint64]*call{}, rng: rand.New(rand.NewPCG(1, 2)),
+		load: l, figures: figures, naive: naive, calls: map[uint64]*call{}, rng: rand.New(rand.NewPCG(seed, 2)), arrivals: rand.New(rand.NewPCG(seed, 4)),
 		active: make([]bool, l.engines), start: time.Unix(1000, 0),
 	}
+	if l.slots > 0 {
+		r.figures.Slots = l.slots
+	}
 	for range l.engines {
-		r.engines = append(r.engines, predictor.NewEngine(&figures))
+		r.engines = append(r.engines, predictor.NewEngine(&r.figures))
 	}
 	for range l.entries {
 		r.entries = append(r.entries, balancer.New(balancer.Config{Region: "r", MaxWaiting: 500, Sharers: l.entries}))
@@ -137,24 +165,37 @@
 	for k, b := range r.entries {
 		var es []balancer.Endpoint
 		for i := range r.engines {
-			es = append(es, balancer.Endpoint{ID: fmt.Sprint(i), Address: fmt.Sprint(i), Region: "r", Slots: figures.Slots, Ready: r.isReady(i), Version: 1})
+			es = append(es, balancer.Endpoint{
+				ID: fmt.Sprint(i), Address: fmt.Sprint(i), Region: "r", Slots: r.figures.Slots, Ready: r.isReady(i), Version: 1, Home: r.home(i, k),
+			})
 		}
 		r.started(k, b.SetEndpoints(r.time(), es))
 	}
 }
 
+func (r *replay) home(engine, entry int) balancer.Home {
+	switch {
+	case !r.load.homes:
+		return balancer.HomeNone
+	case engine%r.load.entries == entry:
+		return balancer.HomeHere
+	default:
+		return balancer.HomeElsewhere
+	}
+}
+
 func (r *replay) arrive() {
 	rate := r.load.perSecond
 	if r.now >= r.load.from && r.now < r.load.till {
 		rate *= r.load.burst
 	}
 	if r.now < r.load.length {
-		r.at(r.now+time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), r.arrive)
+		r.at(r.now+time.Duration(r.arrivals.ExpFloat64()/rate*float64(time.Second)), r.arrive)
 	}
 	id := uint64(len(r.calls) + 1)
 	c := &call{
-		entry: r.rng.IntN(r.load.entries), arrived: r.now,
-		prompt: 200 + int(r.rng.ExpFloat64()*780), answer: 20 + int(r.rng.ExpFloat64()*72),
+		entry: r.entry(r.arrivals), arrived: r.now,
+		prompt: 200 + int(r.arrivals.ExpFloat64()*780), answer: 20 + int(r.arrivals.ExpFloat64()*72),
 	}
 	r.calls[id] = c
 	r.result.asked++
@@ -165,16 +206,24 @@
 	r.offer(id, c)
 }
 
+// entry returns the one that a caller comes to.
+func (r *replay) entry(rng *rand.Rand) int {
+	if rng.Float64() < r.load.busiest {
+		return 0
+	}
+	return rng.IntN(r.load.entries)
+}
+
 // lateWait is how long a request waits that came back after a refusal.
 const lateWait = 120 * time.Millisecond
 
 // offer offers a request to a balancer. One that is refused comes back once.
 func (r *replay) offer(id uint64, c *call) {
 	b := r.entries[c.entry]
-	first := predictor.FirstPiece(&figures, figures.Slots, 0, c.prompt) + firstMargin
+	first := predictor.FirstPiece(&r.figures, r.figures.Slots, 0, c.prompt) + firstMargin
 	req := balancer.Request{
 		ID: id, FirstBy: r.time().Add(objective), First: first, StartBy: r.time().Add(objective - first),
-		Read: predictor.Read(&figures, c.prompt), Random: r.rng.Uint64(), Late: c.refused,
+		Read: predictor.Read(&r.figures, c.prompt), Random: r.rng.Uint64(), Late: c.refused,
 	}
 	if c.refused {
 		req.StartBy = r.time().Add(lateWait)
@@ -202,7 +251,7 @@
 		return
 	}
 	c.refused = true
-	c.entry = r.rng.IntN(r.load.entries)
+	c.entry = r.entry(r.rng)
 	r.at(r.now+d.RetryAfter, func() { r.offer(d.ID, c) })
 }
 
@@ -321,11 +370,63 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			own := play(tc.load, 0)
-			naive := play(tc.load, 4)
+			tc.load.homes = true
+			own := play(tc.load, 0, plays)
+			naive := play(tc.load, 4, plays)
 			t.Logf("balancer: %v, worth %.3f; least own requests, up to 4: %v, worth %.3f", own, own.worth(), naive, naive.worth())
 			is.True(own.worth() >= tc.atLeast)
 			is.True(own.worth() >= naive.worth()+tc.better)
 		})
 	}
 }
+
+// TestHomesReplayed compares endpoints with homes to endpoints that all entries use
+// alike, and to a single entry that knows of all requests at once.
+func TestHomesReplayed(t *testing.T) {
+	tests := map[string]struct {
+		load load
+		// better is by how much the worth must exceed the one without homes.
+		better float64
+	}{
+		"half load, many entries": {
+			load: load{engines: 58, entries: 17, slots: 12, perSecond: 240, length: 6 * time.Second},
+		},
+		"almost full, many entries": {
+			load:   load{engines: 58, entries: 17, slots: 12, perSecond: 380, length: 6 * time.Second},
+			better: 0.03,
+		},
+		"full, many entries": {
+			load:   load{engines: 58, entries: 17, slots: 12, perSecond: 460, length: 6 * time.Second},
+			better: 0.03,
+		},
+		"load above capacity, many entries": {
+			load:   load{engines: 58, entries: 17, slots: 12, perSecond: 560, length: 6 * time.Second},
+			better: 0.03,
+		},
+		"load above capacity, few entries": {
+			load: load{engines: 16, entries: 5, perSecond: 200, length: 20 * time.Second},
+		},
+		"half of the callers at one of many entries": {
+			load: load{engines: 58, entries: 17, slots: 12, perSecond: 300, busiest: 0.5, length: 6 * time.Second},
+		},
+		"half of the callers at one of few entries": {
+			load: load{engines: 16, entries: 5, perSecond: 120, busiest: 0.4, length: 20 * time.Second},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			alike := play(tc.load, 0, 1)
+			tc.load.homes = true
+			homes := play(tc.load, 0, 1)
+			tc.load.entries = 1
+			one := play(tc.load, 0, 1)
+			t.Logf("with homes: %v, worth %.3f; without: worth %.3f; one entry: worth %.3f", homes, homes.worth(), alike.worth(), one.worth())
+			is.True(homes.worth() >= alike.worth()+tc.better)
+			is.True(homes.worth() >= shareOfOne*one.worth())
+		})
+	}
+}
+
+// shareOfOne is what entries with homes must reach of what a single one does.
+const shareOfOne = 0.85
