--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -27,6 +27,9 @@
 	// neighbors how many are asked in the own region.
 	originRanks = 3
 	neighbors   = 6
+	// originReaders keep the origin's link busy and each one's own link well below
+	// its rate, with a handful of copies of what it reads to pass on.
+	originReaders = 6
 	// peerWindow and totalWindow keep a link of a few Mbit/s busy without a long
 	// queue before live requests: a chunk takes some tens of milliseconds.
 	peerWindow   = 2
@@ -52,7 +55,10 @@
 	// manifestTakeover is how long the first ranks have before any instance asks
 	// the origin.
 	manifestTakeover = 1500 * time.Millisecond
-	fetchRetryWait   = 200 * time.Millisecond
+	// manifestAskers bounds the instances that ask the origin then: it takes few
+	// connections at a time.
+	manifestAskers = 6
+	fetchRetryWait = 200 * time.Millisecond
 )
 
 // fetch is the fetching of one version.
@@ -205,6 +211,7 @@
 			Chunks:        len(a.Manifest().Chunks),
 			OriginRegion:  f.plan.OriginRegion,
 			OriginRanks:   originRanks,
+			OriginReaders: originReaders,
 			EagerRanks:    1,
 			Neighbors:     neighbors,
 			PeerWindow:    peerWindow,
@@ -256,17 +263,17 @@
 // manifest gets the manifest: the first ranks from the origin, the others from
 // them, and from the origin too when that takes long.
 func (f *fetch) manifest(ctx context.Context) (m chunker.Manifest, err error) {
-	ranked := ranker.Top(f.name, names(f.currentMembers()), manifestRanks+1)
 	first := f.stager.cfg.Clock()
-	own := slices.Index(ranked, f.stager.cfg.Self.Instance)
 	for ctx.Err() == nil {
+		ranked := ranker.Top(f.name, names(f.currentMembers()), manifestAskers)
+		own := slices.Index(ranked, f.stager.cfg.Self.Instance)
 		waited := f.stager.cfg.Clock().Sub(first)
-		if own == 0 && f.settle == 0 || own >= 0 && own < manifestRanks && waited > f.settle || waited > manifestTakeover {
+		if own == 0 && f.settle == 0 || own >= 0 && own < manifestRanks && waited > f.settle || own >= 0 && waited > manifestTakeover {
 			if m, err = f.originManifest(ctx); err == nil {
 				return m, nil
 			}
 		}
-		for _, peer := range ranked {
+		for _, peer := range ranked[:min(len(ranked), manifestRanks+1)] {
 			if peer == f.stager.cfg.Self.Instance {
 				continue
 			}
--- a/pkg/planner/example_test.go
+++ b/pkg/planner/example_test.go
@@ -5,7 +5,7 @@
 // Sixteen instances of two regions fetch a version; each chunk leaves the origin
 // once.
 func Example() {
-	w := newWorld(2, 8, 20, 2, 1)
+	w := newWorld(2, 8, 20, 2, 0, 1)
 	fmt.Println("unfinished:", w.run(400))
 	copies := 0
 	for _, n := range w.origin {
--- a/pkg/planner/path.go
+++ b/pkg/planner/path.go
@@ -38,6 +38,7 @@
 		pr.member.Region = p.regionOf(name)
 	}
 	p.local = p.neighbors()
+	p.readers = p.originReaders()
 	p.remote = p.remoteRegions()
 	p.paths = make([]path, p.cfg.Chunks)
 	p.outside = p.outside[:0]
@@ -133,22 +134,65 @@
 
 func (p *Planner) pathOf(i int) path {
 	region := p.cfg.Self.Region
-	pt := path{order: p.orderIn(i, region)}
-	pt.rank = pt.order
-	if pt.rank >= p.cfg.OriginRanks {
-		pt.rank = notRanked
-	}
+	pt := path{order: p.orderOf(i, region, p.cfg.Self.Instance)}
+	pt.rank = p.rankIn(i, region, pt.order)
 	if pt.rank == notRanked || region == p.cfg.OriginRegion {
 		return pt
 	}
 	first := p.firstRemoteRegion(i)
 	if first != region && first != "" {
-		pt.upstreams = append(pt.upstreams, ranker.TopIndexed(p.cfg.VersionDigest, i, p.byRegion[first], p.cfg.OriginRanks)...)
+		pt.upstreams = append(pt.upstreams, p.ranks(i, first)...)
 	}
-	pt.upstreams = append(pt.upstreams, ranker.TopIndexed(p.cfg.VersionDigest, i, p.byRegion[p.cfg.OriginRegion], p.cfg.OriginRanks)...)
+	pt.upstreams = append(pt.upstreams, p.ranks(i, p.cfg.OriginRegion)...)
 	return pt
 }
 
+// ranks returns the instances of a region that may fetch chunk i from outside, in
+// their order. In the origin's region, one of the readers goes first.
+func (p *Planner) ranks(i int, region string) []string {
+	top := ranker.TopIndexed(p.cfg.VersionDigest, i, p.byRegion[region], p.cfg.OriginRanks)
+	reader := p.reader(i, region)
+	if reader == "" {
+		return top
+	}
+	if k := slices.Index(top, reader); k >= 0 {
+		top = slices.Delete(top, k, k+1)
+	}
+	return slices.Insert(top, 0, reader)[:min(len(top)+1, p.cfg.OriginRanks)]
+}
+
+// rankIn is the own place in ranks, with the own place by weight; notRanked if self
+// is not among them.
+func (p *Planner) rankIn(i int, region string, order int) int {
+	rank := order
+	if reader := p.reader(i, region); reader == p.cfg.Self.Instance {
+		rank = 0
+	} else if reader != "" && p.orderOf(i, region, reader) > order {
+		rank++
+	}
+	if rank >= p.cfg.OriginRanks {
+		return notRanked
+	}
+	return rank
+}
+
+// reader returns the instance that reads chunk i from the origin first; none where
+// a region does not read from it or all of its instances may.
+func (p *Planner) reader(i int, region string) string {
+	if region != p.cfg.OriginRegion || len(p.readers) == 0 {
+		return ""
+	}
+	return ranker.TopIndexed(p.cfg.VersionDigest, i, p.readers, 1)[0]
+}
+
+// originReaders chooses among the members of the origin's region.
+func (p *Planner) originReaders() []string {
+	if p.cfg.OriginReaders == 0 {
+		return nil
+	}
+	return ranker.Top(p.cfg.VersionDigest+"/reader", p.byRegion[p.cfg.OriginRegion], p.cfg.OriginReaders)
+}
+
 // firstRemoteRegion spreads the chunks evenly over the remote regions. The named
 // region fetches the chunk from the origin's region and the other remote regions
 // fetch it from there, so that the links between remote regions carry a share.
@@ -172,9 +216,9 @@
 	return remote
 }
 
-// orderIn returns the own place among the region's members for chunk i.
-func (p *Planner) orderIn(i int, region string) int {
-	own := ranker.WeightIndexed(p.cfg.VersionDigest, i, p.cfg.Self.Instance)
+// orderOf returns the place of an instance among the region's members for chunk i.
+func (p *Planner) orderOf(i int, region, instance string) int {
+	own := ranker.WeightIndexed(p.cfg.VersionDigest, i, instance)
 	order := 0
 	for _, m := range p.byRegion[region] {
 		if ranker.WeightIndexed(p.cfg.VersionDigest, i, m) > own {
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -32,7 +32,7 @@
 	origin   map[int]int
 }
 
-func newWorld(regions, perRegion, chunks, ranks int, seed uint64) *world {
+func newWorld(regions, perRegion, chunks, ranks, readers int, seed uint64) *world {
 	w := &world{
 		now: time.Unix(1000, 0), chunks: chunks, planners: map[string]*planner.Planner{}, held: map[string]chunker.IndexSet{},
 		dead: map[string]bool{}, fromFar: map[string]int{}, origin: map[int]int{},
@@ -45,7 +45,7 @@
 	for i, m := range w.members {
 		w.held[m.Instance] = chunker.NewIndexSet(chunks)
 		w.planners[m.Instance] = planner.New(planner.Config{
-			Self: m, VersionDigest: "v", Chunks: chunks, OriginRegion: "r0", OriginRanks: ranks, EagerRanks: 1,
+			Self: m, VersionDigest: "v", Chunks: chunks, OriginRegion: "r0", OriginRanks: ranks, OriginReaders: readers, EagerRanks: 1,
 			Neighbors: 4, PeerWindow: 2, OriginWindow: 4, TotalWindow: 8, TakeoverAfter: takeover, ChunkTimeout: chunkTimeout,
 			Rand: rand.New(rand.NewPCG(seed, uint64(i))),
 		}, w.now, w.held[m.Instance])
@@ -116,7 +116,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
 		regions := rapid.IntRange(1, 4).Draw(t, "regions")
-		w := newWorld(regions, rapid.IntRange(1, 8).Draw(t, "members"), rapid.IntRange(1, 60).Draw(t, "chunks"), 2, rapid.Uint64().Draw(t, "seed"))
+		w := newWorld(regions, rapid.IntRange(1, 8).Draw(t, "members"), rapid.IntRange(1, 60).Draw(t, "chunks"), 2, rapid.IntRange(0, 4).Draw(t, "readers"), rapid.Uint64().Draw(t, "seed"))
 		is.Equal(w.run(400), 0)
 		for i := range w.chunks {
 			is.Equal(w.origin[i], 1) // each chunk leaves the origin once
@@ -133,7 +133,7 @@
 func TestDeathsAreTakenOver(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
-		w := newWorld(rapid.IntRange(1, 3).Draw(t, "regions"), rapid.IntRange(4, 8).Draw(t, "members"), 40, 2, rapid.Uint64().Draw(t, "seed"))
+		w := newWorld(rapid.IntRange(1, 3).Draw(t, "regions"), rapid.IntRange(4, 8).Draw(t, "members"), 40, 2, rapid.IntRange(0, 4).Draw(t, "readers"), rapid.Uint64().Draw(t, "seed"))
 		w.run(rapid.IntRange(1, 4).Draw(t, "steps"))
 		w.dead[w.members[rapid.IntRange(0, len(w.members)-1).Draw(t, "dies")].Instance] = true
 		w.run(40) // the list still has the dead member
@@ -146,3 +146,32 @@
 		is.True(total <= 2*w.chunks) // two ranks read a chunk at most
 	})
 }
+
+// TestFewReadTheOrigin checks that the connections to the origin do not grow with
+// the fleet: an origin takes few at a time, and chunks that are read one after the
+// other spread while the next ones come.
+func TestFewReadTheOrigin(t *testing.T) {
+	tests := map[string]struct {
+		regions, perRegion, readers, want int
+	}{
+		"all of a small region": {regions: 2, perRegion: 4, readers: 6, want: 4},
+		"some of a large one":   {regions: 3, perRegion: 40, readers: 6, want: 6},
+		"all where not bounded": {regions: 1, perRegion: 40, want: 40},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(tc.regions, tc.perRegion, 400, 3, tc.readers, 1)
+			readers := 0
+			for _, m := range w.members {
+				for _, f := range w.planners[m.Instance].Next(w.now) {
+					if f.FromOrigin() {
+						readers++
+						break
+					}
+				}
+			}
+			is.Equal(readers, tc.want)
+		})
+	}
+}
