Let a handful of instances read the origin

Change: six instances of its region read the origin, two of each other region when the others bring nothing, and each goes for its own chunks first.

--- a/pkg/planner/path.go
+++ b/pkg/planner/path.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -38,7 +39,7 @@
 		pr.member.Region = p.regionOf(name)
 	}
 	p.local = p.neighbors()
-	p.readers = p.originReaders()
+	p.readers = map[string][]string{}
 	p.remote = p.remoteRegions()
 	p.paths = make([]path, p.cfg.Chunks)
 	p.outside = p.outside[:0]
@@ -48,6 +49,8 @@
 			p.outside = append(p.outside, i)
 		}
 	}
+	// Chunks that are waited for go before those that others failed to bring.
+	slices.SortStableFunc(p.outside, func(a, b int) int { return cmp.Compare(p.paths[a].rank, p.paths[b].rank) })
 }
 
 // Peer is an instance to be connected to.
@@ -135,7 +138,7 @@
 func (p *Planner) pathOf(i int) path {
 	region := p.cfg.Self.Region
 	pt := path{order: p.orderOf(i, region, p.cfg.Self.Instance)}
-	pt.rank = p.rankIn(i, region, pt.order)
+	pt.rank = slices.Index(p.ranks(i, region), p.cfg.Self.Instance)
 	if pt.rank == notRanked || region == p.cfg.OriginRegion {
 		return pt
 	}
@@ -148,49 +151,42 @@
 }
 
 // ranks returns the instances of a region that may fetch chunk i from outside, in
-// their order. In the origin's region, one of the readers goes first.
+// their order. Where readers are bounded, all of the origin's region are readers,
+// and elsewhere those after the first.
 func (p *Planner) ranks(i int, region string) []string {
-	top := ranker.TopIndexed(p.cfg.VersionDigest, i, p.byRegion[region], p.cfg.OriginRanks)
-	reader := p.reader(i, region)
-	if reader == "" {
-		return top
+	members := p.byRegion[region]
+	if p.cfg.OriginReaders == 0 {
+		return ranker.TopIndexed(p.cfg.VersionDigest, i, members, p.cfg.OriginRanks)
 	}
-	if k := slices.Index(top, reader); k >= 0 {
-		top = slices.Delete(top, k, k+1)
+	readers := ranker.TopIndexed(p.cfg.VersionDigest, i, p.readersOf(region), p.cfg.OriginRanks)
+	if region == p.cfg.OriginRegion {
+		return readers
 	}
-	return slices.Insert(top, 0, reader)[:min(len(top)+1, p.cfg.OriginRanks)]
+	first := ranker.TopIndexed(p.cfg.VersionDigest, i, members, 1)
+	readers = slices.DeleteFunc(readers, func(r string) bool { return slices.Contains(first, r) })
+	return append(first, readers...)[:min(len(first)+len(readers), p.cfg.OriginRanks)]
 }
 
-// rankIn is the own place in ranks, with the own place by weight; notRanked if self
-// is not among them.
-func (p *Planner) rankIn(i int, region string, order int) int {
-	rank := order
-	if reader := p.reader(i, region); reader == p.cfg.Self.Instance {
-		rank = 0
-	} else if reader != "" && p.orderOf(i, region, reader) > order {
-		rank++
-	}
-	if rank >= p.cfg.OriginRanks {
-		return notRanked
-	}
-	return rank
-}
+// remoteReaders is how many instances of a region that is not the origin's may read
+// from it when their upstream instances deliver nothing: one, and one more that may
+// be down.
+const remoteReaders = 2
 
-// reader returns the instance that reads chunk i from the origin first; none where
-// a region does not read from it or all of its instances may.
-func (p *Planner) reader(i int, region string) string {
-	if region != p.cfg.OriginRegion || len(p.readers) == 0 {
-		return ""
+// readersOf returns the instances of a region that may read from the origin.
+func (p *Planner) readersOf(region string) []string {
+	if rs, ok := p.readers[region]; ok {
+		return rs
 	}
-	return ranker.TopIndexed(p.cfg.VersionDigest, i, p.readers, 1)[0]
-}
-
-// originReaders chooses among the members of the origin's region.
-func (p *Planner) originReaders() []string {
-	if p.cfg.OriginReaders == 0 {
-		return nil
+	n := p.cfg.OriginReaders
+	switch {
+	case n == 0:
+		n = len(p.byRegion[region])
+	case region != p.cfg.OriginRegion:
+		n = remoteReaders
 	}
-	return ranker.Top(p.cfg.VersionDigest+"/reader", p.byRegion[p.cfg.OriginRegion], p.cfg.OriginReaders)
+	rs := ranker.Top(p.cfg.VersionDigest+"/reader", p.byRegion[region], n)
+	p.readers[region] = rs
+	return rs
 }
 
 // firstRemoteRegion spreads the chunks evenly over the remote regions. The named
@@ -269,7 +265,7 @@
 // mayUseOrigin tells whether chunk i may now be read from the origin: at once in
 // the origin's region; elsewhere, when the upstream instances had their time.
 func (p *Planner) mayUseOrigin(now time.Time, i int) bool {
-	if now.Before(p.originPause) || !p.mayFetchOutside(now, i) {
+	if now.Before(p.originPause) || !p.mayFetchOutside(now, i) || !slices.Contains(p.readersOf(p.cfg.Self.Region), p.cfg.Self.Instance) {
 		return false
 	}
 	if len(p.paths[i].upstreams) == 0 {
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -33,8 +33,9 @@
 	// OriginRanks is how many instances of a region may fetch a given chunk
 	// from the origin; it bounds the copies drawn from there.
 	OriginRanks int
-	// OriginReaders is how many instances read from the origin as long as they
-	// do, so that its connections do not grow with the fleet; 0 is all.
+	// OriginReaders is how many instances of the origin's region may read from it,
+	// so that its connections do not grow with the fleet and that few come at once
+	// when it was away; 0 is all.
 	OriginReaders int
 	// EagerRanks of them fetch at once; the others take over later.
 	EagerRanks int
@@ -145,8 +146,8 @@
 	paths    []path
 	// local are the neighbours of the own region.
 	local []Peer
-	// readers are the instances that read from the origin first.
-	readers []string
+	// readers are the instances of each region that may read from the origin.
+	readers map[string][]string
 	// remote are the regions other than the origin's.
 	remote []string
 	// outside lists the chunks that self may fetch from outside the region.
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -16,6 +16,7 @@
 const (
 	takeover     = time.Second
 	chunkTimeout = time.Second
+	backoff      = 700 * time.Millisecond
 	step         = 50 * time.Millisecond
 )
 
@@ -30,6 +31,17 @@
 	dead     map[string]bool
 	fromFar  map[string]int
 	origin   map[int]int
+	// awayUntil is when the origin is back. It sends perStep chunks in a step,
+	// all that it is asked for where that is 0.
+	awayUntil time.Time
+	perStep   int
+	asked     []asked
+}
+
+// asked is a chunk that the origin was asked for.
+type asked struct {
+	by    string
+	fetch planner.Fetch
 }
 
 func newWorld(regions, perRegion, chunks, ranks, readers int, seed uint64) *world {
@@ -46,7 +58,7 @@
 		w.held[m.Instance] = chunker.NewIndexSet(chunks)
 		w.planners[m.Instance] = planner.New(planner.Config{
 			Self: m, VersionDigest: "v", Chunks: chunks, OriginRegion: "r0", OriginRanks: ranks, OriginReaders: readers, EagerRanks: 1,
-			Neighbors: 4, PeerWindow: 2, OriginWindow: 4, TotalWindow: 8, TakeoverAfter: takeover, ChunkTimeout: chunkTimeout,
+			Neighbors: 4, PeerWindow: 2, OriginWindow: 4, TotalWindow: 8, TakeoverAfter: takeover, ChunkTimeout: chunkTimeout, OriginBackoff: backoff,
 			Rand: rand.New(rand.NewPCG(seed, uint64(i))),
 		}, w.now, w.held[m.Instance])
 	}
@@ -70,6 +82,7 @@
 func (w *world) run(steps int) (unfinished int) {
 	for range steps {
 		w.now = w.now.Add(step)
+		w.send()
 		unfinished = 0
 		for _, m := range w.members {
 			if !w.dead[m.Instance] && !w.planners[m.Instance].Complete() {
@@ -84,6 +97,20 @@
 	return unfinished
 }
 
+// send lets the origin send what it can in a step.
+func (w *world) send() {
+	n := len(w.asked)
+	if w.perStep > 0 {
+		n = min(n, w.perStep)
+	}
+	for _, a := range w.asked[:n] {
+		w.origin[a.fetch.Index]++
+		w.held[a.by].Add(a.fetch.Index)
+		w.planners[a.by].Done(w.now, a.fetch)
+	}
+	w.asked = w.asked[n:]
+}
+
 func (w *world) stepOne(m planner.Member) {
 	p := w.planners[m.Instance]
 	for _, peer := range p.Peers(w.now) {
@@ -102,9 +129,15 @@
 			p.Failed(w.now, f, planner.FailureUnavailable)
 			continue
 		}
+		if f.FromOrigin() && w.now.Before(w.awayUntil) {
+			p.Failed(w.now, f, planner.FailureUnavailable)
+			continue
+		}
 		if f.FromOrigin() {
-			w.origin[f.Index]++
-		} else if f.Peer[:2] != m.Instance[:2] {
+			w.asked = append(w.asked, asked{by: m.Instance, fetch: f})
+			continue
+		}
+		if f.Peer[:2] != m.Instance[:2] {
 			w.fromFar[f.Peer[:2]+m.Instance[:2]]++
 		}
 		w.held[m.Instance].Add(f.Index)
@@ -175,3 +208,45 @@
 		})
 	}
 }
+
+// TestOriginComesBack lets the origin go away in the middle of a transfer. When it
+// is back, everyone has waited for it, and what is sent twice delays all.
+func TestOriginComesBack(t *testing.T) {
+	tests := map[string]struct{ regions, perRegion int }{
+		"one region":    {regions: 1, perRegion: 30},
+		"three regions": {regions: 3, perRegion: 33},
+		"few instances": {regions: 2, perRegion: 4},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(tc.regions, tc.perRegion, 96, 3, 6, 1)
+			w.perStep = 1 // 20 chunks a second
+			w.run(50)
+			w.awayUntil = w.now.Add(6 * time.Second)
+			w.asked = nil
+			for _, m := range w.members {
+				for i := range w.chunks {
+					w.planners[m.Instance].Failed(w.now, planner.Fetch{Index: i}, planner.FailureUnavailable)
+				}
+			}
+			w.run(120) // while it is away
+			left := 0
+			for i := range w.chunks {
+				if w.origin[i] == 0 {
+					left++
+				}
+			}
+			back := w.now
+			is.Equal(w.run(600), 0)
+			total := 0
+			for _, n := range w.origin {
+				total += n
+			}
+			t.Logf("%d chunks were left, all held %v after the return, %d sent in all", left, w.now.Sub(back), total)
+			is.True(left > 40)
+			is.True(total <= w.chunks*11/10)                                         // one copy and a tenth
+			is.True(w.now.Sub(back) <= time.Duration(left)*step*13/10+2*time.Second) // the time that the origin needs and a third, after a pause
+		})
+	}
+}
