--- a/pkg/planner/path.go
+++ b/pkg/planner/path.go
@@ -138,7 +138,7 @@
 func (p *Planner) pathOf(i int) path {
 	region := p.cfg.Self.Region
 	pt := path{order: p.orderOf(i, region, p.cfg.Self.Instance)}
-	pt.rank = slices.Index(p.ranks(i, region), p.cfg.Self.Instance)
+	pt.rank = p.rankOf(i, region, pt.order)
 	if pt.rank == notRanked || region == p.cfg.OriginRegion {
 		return pt
 	}
@@ -167,6 +167,19 @@
 	return append(first, readers...)[:min(len(first)+len(readers), p.cfg.OriginRanks)]
 }
 
+// rankOf returns the own place in ranks; notRanked if self is not among them. order
+// is the own place among all members.
+func (p *Planner) rankOf(i int, region string, order int) int {
+	switch {
+	case p.cfg.OriginReaders > 0:
+		return slices.Index(p.ranks(i, region), p.cfg.Self.Instance)
+	case order < p.cfg.OriginRanks:
+		return order
+	default:
+		return notRanked
+	}
+}
+
 // remoteReaders is how many instances of a region that is not the origin's may read
 // from it when their upstream instances deliver nothing: one, and one more that may
 // be down.
