Fetch the newer of two versions named soon after each other, and settle once

Change: the copy's time is that of the slower link. After power-off of all, the manifest waited 0.5 s and the chunks again as long: the manifest's first rank asks at once now and the time counts once.

--- a/internal/agentserver/server.go
+++ b/internal/agentserver/server.go
@@ -205,6 +205,7 @@
 	plan := stager.Plan{
 		Chunks: int(p.GetChunks()), ChunkBytes: int(p.GetChunkBytes()),
 		Origin: p.GetOriginAddress(), OriginRegion: p.GetOriginRegion(),
+		OriginBytesPerSecond: float64(p.GetOriginBytesPerSecond()),
 	}
 	for _, v := range p.GetVersions() {
 		// An endpoint holds one model; the platform's services have one each.
--- a/internal/gatewayserver/relay.go
+++ b/internal/gatewayserver/relay.go
@@ -162,6 +162,7 @@
 	for i := range cfg.Services {
 		if o := cfg.Services[i].Origin; o != nil {
 			reply.OriginAddress, reply.OriginRegion = o.Address, s.cfg.Settings.Regions[o.AvailabilityZone]
+			reply.OriginBytesPerSecond = uint64(max(o.BytesPerSecond, 0))
 		}
 	}
 	if e := engineOf(v.config.table, service); e != nil {
--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -45,8 +45,11 @@
 	originBackoff = 700 * time.Millisecond
 	// originTimeout bounds one read of the origin, whose link all share.
 	originTimeout = 4 * time.Second
-	// settleTime is how long neighbours have to tell what they hold.
+	// settleTime is how long after its start a transfer of a version that others
+	// may hold leaves the origin alone, and linkSettle how long neighbours have at
+	// least to tell what they hold, which takes some milliseconds.
 	settleTime = 500 * time.Millisecond
+	linkSettle = 200 * time.Millisecond
 	// manifestRanks is how many instances read the manifest from the origin, and
 	// manifestPause the wait between tries to get it.
 	manifestRanks   = 2
@@ -71,7 +74,9 @@
 	cancel  context.CancelFunc
 	// adopt says that the endpoint has the version loaded, so that its staged
 	// chunks are read for others and nothing is fetched.
-	adopt  bool
+	adopt bool
+	began time.Time
+	// settle is how long after the beginning nothing is read from the origin.
 	settle time.Duration
 
 	mu       sync.Mutex
@@ -86,7 +91,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	f := &fetch{
 		stager: s, model: p.Model, version: p.Version, name: versionName(p.Model, p.Version), plan: p,
-		cancel: cancel, adopt: adopt, members: p.Members,
+		cancel: cancel, adopt: adopt, began: now, members: p.Members,
 	}
 	if p.Held || now.Sub(p.NamedAt) > adoptAfter {
 		f.settle = settleTime
@@ -116,6 +121,15 @@
 	return f.held
 }
 
+// heldShare is the share of the chunks that are held.
+func (f *fetch) heldShare() float64 {
+	a := f.assembly()
+	if a == nil {
+		return 0
+	}
+	return float64(a.Count()) / float64(max(len(a.Manifest().Chunks), 1))
+}
+
 func (f *fetch) setMembers(ms []planner.Member) {
 	f.mu.Lock()
 	f.members = ms
@@ -134,12 +148,11 @@
 
 // run fetches until every chunk is held.
 func (f *fetch) run(ctx context.Context) {
-	began := f.stager.cfg.Clock()
 	for ctx.Err() == nil {
 		err := f.try(ctx)
 		if err == nil {
 			logger.Log(f.stager.cfg.Logger, logger.ChunksComplete, zap.Uint64("version", f.version),
-				zap.Bool("adopted", f.adopt), zap.Duration("taken", f.stager.cfg.Clock().Sub(began)))
+				zap.Bool("adopted", f.adopt), zap.Duration("taken", f.stager.cfg.Clock().Sub(f.began)))
 			return
 		}
 		if ctx.Err() == nil {
@@ -197,6 +210,14 @@
 	}
 }
 
+// settleLeft is the rest of the settle time.
+func (f *fetch) settleLeft() time.Duration {
+	if f.settle == 0 {
+		return 0
+	}
+	return max(f.settle-f.stager.cfg.Clock().Sub(f.began), linkSettle)
+}
+
 func (f *fetch) transferAll(ctx context.Context, a *assembler.Assembly) error {
 	if a.Complete() {
 		return nil
@@ -217,7 +238,7 @@
 			PeerWindow:    peerWindow,
 			OriginWindow:  originWindow,
 			TotalWindow:   totalWindow,
-			SettleTime:    f.settle,
+			SettleTime:    f.settleLeft(),
 			OriginBackoff: originBackoff,
 			TakeoverAfter: takeoverAfter,
 			ChunkTimeout:  chunkTimeout,
@@ -268,7 +289,7 @@
 		ranked := ranker.Top(f.name, names(f.currentMembers()), manifestAskers)
 		own := slices.Index(ranked, f.stager.cfg.Self.Instance)
 		waited := f.stager.cfg.Clock().Sub(first)
-		if own == 0 && f.settle == 0 || own >= 0 && own < manifestRanks && waited > f.settle || own >= 0 && waited > manifestTakeover {
+		if own == 0 || own >= 0 && own < manifestRanks && waited > settleTime || own >= 0 && waited > manifestTakeover {
 			if m, err = f.originManifest(ctx); err == nil {
 				return m, nil
 			}
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -34,7 +34,9 @@
 	ChunkBytes   int
 	Origin       string
 	OriginRegion string
-	Members      []planner.Member
+	// OriginBytesPerSecond is the rate of the origin's link; 0 if it is not known.
+	OriginBytesPerSecond float64
+	Members              []planner.Member
 }
 
 // Endpoint is the endpoint beside this process.
@@ -220,12 +222,17 @@
 	return versions
 }
 
+// copyTime is how long a new version takes to come out of the origin and over the
+// own link, which both carry it at the same time.
 func (s *Stager) copyTime() time.Duration {
-	if s.cfg.BytesPerSecond <= 0 {
-		return 0
-	}
 	bytes := float64(s.plan.Chunks) * float64(s.plan.ChunkBytes)
-	return time.Duration(bytes / s.cfg.BytesPerSecond * float64(time.Second))
+	var seconds float64
+	for _, rate := range []float64{s.cfg.BytesPerSecond, s.plan.OriginBytesPerSecond} {
+		if rate > 0 {
+			seconds = max(seconds, bytes/rate)
+		}
+	}
+	return time.Duration(seconds * float64(time.Second))
 }
 
 func switchMembers(ms []planner.Member) []switcher.Member {
@@ -246,8 +253,7 @@
 }
 
 // startFetch fetches the wanted version. An older one that is under way goes
-// first, unless it has only begun: what has left the origin is not thrown away,
-// and the endpoint needs a version that may still begin.
+// first, unless it is superseded.
 func (s *Stager) startFetch(ctx context.Context, now time.Time, loaded uint64) {
 	if s.fetches[s.plan.Version] != nil {
 		return
@@ -259,7 +265,7 @@
 			s.cfg.Store.Drop(f.name)
 			delete(s.fetches, v)
 		case f.isComplete() || f.adopt:
-		case s.plan.NamedAt.Sub(f.plan.NamedAt) < time.Duration(begunShare*float64(s.copyTime())),
+		case switcher.Supersedes(s.plan.NamedAt.Sub(f.plan.NamedAt), s.copyTime(), s.mayBeginFor(now, loaded), f.heldShare()),
 			now.Sub(f.plan.NamedAt) > s.cfg.VersionBound:
 			f.cancel()
 			s.cfg.Store.Drop(f.name)
@@ -271,9 +277,15 @@
 	s.fetches[s.plan.Version] = s.newFetch(ctx, now, s.plan, loaded == s.plan.Version)
 }
 
-// begunShare of a copy's time is how far an older version must have come to go
-// first.
-const begunShare = 0.5
+// mayBeginFor is how long the loaded version may still begin requests.
+func (s *Stager) mayBeginFor(now time.Time, loaded uint64) time.Duration {
+	for _, n := range s.named {
+		if n.Version > loaded {
+			return n.At.Add(s.cfg.VersionBound).Sub(now)
+		}
+	}
+	return s.cfg.VersionBound
+}
 
 // versionName names a version among the sidecars.
 func versionName(model string, version uint64) string {
