Take back requests that an endpoint may not begin any more

Two requests were sent 1.28 s and 1.21 s before the bound of the older version, waited in an endpoint without a free slot and began 56 and 206 ms after it; the margin assumes 1.2 s at most.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -71,7 +71,9 @@
 	if c.workspace != nil {
 		at.Workspace = c.workspace.Name
 	}
-	answer, err := f.cfg.Pool.Exchange(c.ctx, exchanger.Request{
+	ctx, begun := f.untilBegun(c, d.Endpoint, now)
+	defer begun()
+	answer, err := f.cfg.Pool.Exchange(ctx, exchanger.Request{
 		Address: d.Endpoint.Address,
 		Method:  c.request.Method,
 		Target:  c.target,
@@ -82,13 +84,13 @@
 		IsOwn:   func(h http.Header) bool { return f.cfg.Translator.Head(0, h).RequestID == c.RequestID },
 	})
 	if err != nil {
-		return a, f.transportFailure(c, a, err)
+		return a, notBegunOr(ctx, f.transportFailure(c, a, err))
 	}
 	c.sends++
 	a.answer = answer
 	if fail = f.judge(c, a); fail != nil {
 		answer.Close()
-		return a, fail
+		return a, notBegunOr(ctx, fail)
 	}
 	began := f.cfg.Clock()
 	f.paces.note(c, began.Sub(now))
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -172,11 +172,13 @@
 	keyed.Anonymous = false
 	short := route("short", resolver.KindUnsafe, 1, false)
 	short.Timeout = 150 * time.Millisecond
+	long := route("long", resolver.KindStreaming, 2, false)
+	long.Timeout = 3 * time.Second
 	return resolver.Configuration{
 		Version: 1,
 		Routes: []resolver.Route{
 			route("safe", resolver.KindSafe, 2, false), route("unsafe", resolver.KindUnsafe, 2, false),
-			route("stream", resolver.KindStreaming, 2, true), route("once", resolver.KindStreaming, 2, false), keyed, short,
+			route("stream", resolver.KindStreaming, 2, true), route("once", resolver.KindStreaming, 2, false), keyed, short, long,
 		},
 		Services:   []resolver.Service{{Name: "s"}},
 		Workspaces: []resolver.Workspace{{Name: "w", Keys: []string{"k"}}},
@@ -450,3 +452,50 @@
 	_, err = br.ReadByte()
 	is.True(errors.Is(err, io.EOF))
 }
+
+// TestNotBegunBeforeTheBound checks that a request that waits in an endpoint with an
+// older version is taken back before that may not begin any more.
+func TestNotBegunBeforeTheBound(t *testing.T) {
+	const versionBound = time.Minute
+	tests := map[string]struct {
+		// left is the time until the bound.
+		left   time.Duration
+		script script
+		status int
+		taken  time.Duration
+	}{
+		"it waits":        {left: 1300 * time.Millisecond, script: hangs, status: http.StatusBadGateway, taken: time.Second},
+		"it has begun":    {left: 1300 * time.Millisecond, script: beginsAndTakes(1500 * time.Millisecond), status: http.StatusOK, taken: 1500 * time.Millisecond},
+		"it may not come": {left: 1100 * time.Millisecond, script: answers("x"), status: http.StatusServiceUnavailable},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEndpoint(t, tc.script)
+			f := newFront(t, e)
+			cfg := configuration()
+			cfg.Services[0].Engine = &resolver.Engine{Slots: 4, Stride: 1}
+			f.set(func(b *forwarder.Beliefs) {
+				b.Table = resolver.New(cfg)
+				b.Versions = map[string][]forwarder.Version{"": {{Version: 2, LearnedAt: time.Now().Add(tc.left - versionBound)}}}
+			})
+			f.forwarder.SetEndpoints("s", []balancer.Endpoint{{ID: "e0", Address: e.server.Listener.Addr().String(), Slots: 4, Ready: true, Version: 1}})
+			r := f.call(t.Context(), t, "long")
+			is.Equal(r.status, tc.status)
+			is.True(r.taken >= tc.taken)
+			is.True(r.taken < tc.taken+800*time.Millisecond)
+		})
+	}
+}
+
+// beginsAndTakes gives a first event at once and the second after a while.
+func beginsAndTakes(d time.Duration) script {
+	return func(e *endpoint, w http.ResponseWriter, _ *http.Request) {
+		e.runs.Add(1)
+		w.Header().Set("Stamp", "s")
+		_, _ = io.WriteString(w, event(1))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(d)
+		_, _ = io.WriteString(w, event(2))
+	}
+}
--- a/internal/forwarder/place.go
+++ b/internal/forwarder/place.go
@@ -66,25 +66,6 @@
 	return r
 }
 
-// versionMargin is how long before the bound older versions get no new requests:
-// a request may wait in the endpoint for about as long as another one takes, and
-// processes learn of a version one after the other.
-const versionMargin = 1200 * time.Millisecond
-
-// leastVersion is the version of the call's model before which none may begin any
-// more; 0 if all may.
-func (f *Forwarder) leastVersion(c *call, now time.Time) (least uint64) {
-	if f.cfg.Bounds.Version <= 0 || c.engine == nil {
-		return 0
-	}
-	for _, v := range f.cfg.Beliefs().Versions[c.Model] {
-		if now.Sub(v.LearnedAt) >= f.cfg.Bounds.Version-versionMargin {
-			least = max(least, v.Version)
-		}
-	}
-	return least
-}
-
 func (f *Forwarder) logRoute(c *call, d balancer.Decision) {
 	logger.Log(f.cfg.Logger, logger.RouteChosen,
 		zap.String("request_id", c.RequestID), zap.String("service", c.service), zap.String("endpoint", d.Endpoint.ID),
