--- a/pkg/balancer/member.go
+++ b/pkg/balancer/member.go
@@ -66,6 +66,9 @@
 	// homeReserve is how many free places of an endpoint are left to its home,
 	// about what that takes until the others hear of it.
 	homeReserve = 2.0
+	// elsewhereShare of the other free places may be taken by the others together:
+	// an endpoint that has just loaded is free for all at the same moment.
+	elsewhereShare = 0.5
 	// elsewherePenalty is what an endpoint costs that has its home elsewhere, in
 	// shares of its capacity: it is used when the own ones are full.
 	elsewherePenalty = 1.0
@@ -161,13 +164,15 @@
 	}
 }
 
-// freeShare is the part of the free places that is for this process.
+// freeShare is the part of the free places that is for this process; all parts
+// together are what is free.
 func (m *member) freeShare(free float64, sharers int) float64 {
+	elsewhere := elsewhereShare * max(free-homeReserve, 0) / float64(max(sharers, 1))
 	switch m.Home {
 	case HomeHere:
-		return free
+		return free - elsewhere*float64(max(sharers-1, 0))
 	case HomeElsewhere:
-		return max(free-homeReserve, 0) / float64(max(sharers, 1))
+		return elsewhere
 	default:
 		return free / float64(max(sharers, 1))
 	}
