--- a/internal/gatewayserver/endpoints_test.go
+++ b/internal/gatewayserver/endpoints_test.go
@@ -71,3 +71,29 @@
 	_, actions = p.Handle(now.Add(peerTimeout), s, controller.Tick{})
 	is.True(apportions(actions)) // it is silent
 }
+
+// TestNamingTimesAreTheEarliest checks that an entry that heard late of a version
+// counts its bound from when a peer heard of it.
+func TestNamingTimesAreTheEarliest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := map[string]struct {
+		version uint64
+		age     uint32
+		want    time.Duration
+	}{
+		"a peer heard earlier":          {version: 2, age: 900, want: 900 * time.Millisecond},
+		"a peer heard later":            {version: 2, age: 20, want: 100 * time.Millisecond},
+		"of a version not known here":   {version: 3, age: 900, want: 100 * time.Millisecond},
+		"of a version that is outdated": {version: 1, age: 9000, want: 100 * time.Millisecond},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := state{config: config{}.withNamings(now, []naming{{model: "m", version: 2, age: 100 * time.Millisecond}})}
+			heard := &messenger.Presence{Address: "p", Newest: []*messenger.NamedVersion{{Model: "m", Version: tc.version, AgeMs: tc.age}}}
+			s, _ = peersController{self: "self"}.Handle(now, s, presence{heard: heard})
+			is.Equal(s.config.newest("m").Version, uint64(2))
+			is.Equal(now.Sub(s.config.newest("m").LearnedAt), tc.want)
+		})
+	}
+}
--- a/internal/gatewayserver/peers.go
+++ b/internal/gatewayserver/peers.go
@@ -50,6 +50,7 @@
 	if !known || old.leaving != h.GetLeaving() {
 		actions = append(actions, endpointsChanged{})
 	}
+	s.config = s.config.withEarlierNamings(now, h.GetNewest())
 	var lacksConfig, lacksList bool
 	s.config, lacksConfig = s.config.compare(now, h)
 	s.list, lacksList = s.list.compare(now, h)
@@ -59,6 +60,17 @@
 	return s, actions
 }
 
+// withEarlierNamings takes over when a peer learned of versions that are known here
+// too: the bound of older ones counts from their naming, whoever hears of it late.
+func (c config) withEarlierNamings(now time.Time, newest []*messenger.NamedVersion) config {
+	for _, n := range newest {
+		if c.newest(n.GetModel()).Version == n.GetVersion() {
+			c = c.withNamings(now, []naming{{model: n.GetModel(), version: n.GetVersion(), age: age(n.GetAgeMs())}})
+		}
+	}
+	return c
+}
+
 // compare takes over a peer's proof of the same configuration, and tells whether
 // the peer may know something newer.
 func (c config) compare(now time.Time, h *messenger.Presence) (config, bool) {
--- a/internal/gatewayserver/presence.go
+++ b/internal/gatewayserver/presence.go
@@ -77,6 +77,7 @@
 		ListAgeMs:     ageMillis(now, v.list.provenAt),
 		Leaving:       s.leaving.Load(),
 		Crashes:       s.crashes.recent(),
+		Newest:        newestVersions(now, v.config),
 	}
 	if echo == 0 {
 		names := slices.Collect(maps.Keys(v.peers))
@@ -87,6 +88,14 @@
 	}
 }
 
+func newestVersions(now time.Time, c config) (out []*messenger.NamedVersion) {
+	for _, model := range slices.Sorted(maps.Keys(c.versions)) {
+		n := c.newest(model)
+		out = append(out, &messenger.NamedVersion{Model: model, Version: n.Version, AgeMs: ageMillis(now, n.LearnedAt)})
+	}
+	return out
+}
+
 // ageMillis rounds up, so that a proof never looks fresher than it is.
 func ageMillis(now, at time.Time) uint32 {
 	ms := now.Sub(at)/time.Millisecond + 1
