--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -30,6 +30,5 @@
 	// Shutdown passes over a listener that Serve has not registered yet; without
 	// this, such a server would go on accepting.
 	_ = lis.Close()
-	<-failed
-	return nil
+	return eris.Wrap(<-failed, "stop serving HTTP")
 }
