--- a/internal/measurer/swarm.go
+++ b/internal/measurer/swarm.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"math/bits"
@@ -46,6 +47,12 @@
 	shared bool
 	// regionRate is the rate between regions in bytes per second, 0 for unlimited.
 	regionRate float64
+	// originBytesPerSecond and instanceBytesPerSecond replace the rates by window
+	// where they are set.
+	originBytesPerSecond   float64
+	instanceBytesPerSecond float64
+	// planning replaces the sidecar's way to plan where it is set.
+	planning *planner.Config
 	// originRanks and eagerRanks are the planner's.
 	originRanks int
 	eagerRanks  int
@@ -61,16 +68,26 @@
 	instanceCopiesPerWindow = 2
 )
 
-func (c swarmConfig) instances() int        { return len(c.regions) * c.perRegion }
-func (c swarmConfig) instanceRate() float64 { return c.perWindow(instanceCopiesPerWindow) }
-func (c swarmConfig) originRate() float64   { return c.perWindow(originCopiesPerWindow) }
+func (c swarmConfig) instances() int { return len(c.regions) * c.perRegion }
+
+func (c swarmConfig) instanceRate() float64 {
+	return cmp.Or(c.instanceBytesPerSecond, c.perWindow(instanceCopiesPerWindow))
+}
+
+func (c swarmConfig) originRate() float64 {
+	return cmp.Or(c.originBytesPerSecond, c.perWindow(originCopiesPerWindow))
+}
 
 func (c swarmConfig) perWindow(copies float64) float64 {
+	if c.window == 0 {
+		return 0
+	}
 	return copies * float64(c.weightsBytes) / c.window.Seconds()
 }
 
 // floor is the least time in which all instances of one region can have the
-// version: the bytes that must cross each instance's link, and the pipeline's
+// version: the bytes that must cross each instance's link or, where that takes
+// longer, the origin's, and the pipeline's
 // fill, in which one chunk leaves the origin and doubles its holders until all
 // have it.
 func (c swarmConfig) floor() time.Duration {
@@ -80,7 +97,7 @@
 		// Every copy but the one from the origin is sent by an instance.
 		bytes *= (2*n - 1) / n
 	}
-	seconds := bytes/c.instanceRate() + float64(c.chunkBytes)/c.originRate()
+	seconds := max(bytes/c.instanceRate(), float64(c.weightsBytes)/c.originRate()) + float64(c.chunkBytes)/c.originRate()
 	return time.Duration(seconds*float64(time.Second)) + c.spread()
 }
 
@@ -334,33 +351,39 @@
 }
 
 func (s *swarm) transfer(n *node, i uint64, cfg Config) *transferrer.Transfer {
-	t := sidecarserver.DefaultTransfer()
 	return transferrer.New(transferrer.Config{
-		Assembly: n.assembly,
-		Planner: planner.Config{
-			Self:          n.member,
-			VersionDigest: s.digest,
-			Chunks:        len(s.manifest.Chunks),
-			OriginRegion:  s.cfg.regions[0],
-			OriginRanks:   s.cfg.originRanks,
-			EagerRanks:    s.cfg.eagerRanks,
-			Neighbors:     t.Neighbors,
-			PeerWindow:    t.PeerWindow,
-			OriginWindow:  t.OriginWindow,
-			TotalWindow:   t.TotalWindow,
-			TakeoverAfter: s.cfg.takeover,
-			ChunkTimeout:  t.ChunkTimeout,
-			Rand:          rand.New(rand.NewPCG(s.cfg.seed, i)),
-		},
+		Assembly:      n.assembly,
+		Planner:       s.planner(n, i),
 		Members:       s.currentMembers(),
 		Dial:          n.dial,
 		Origin:        n.origin(),
-		OriginTimeout: t.OriginTimeout,
+		OriginTimeout: sidecarserver.DefaultTransfer().OriginTimeout,
 		Submit:        s.pool.Submit,
 		Logger:        cfg.Logger,
 	})
 }
 
+func (s *swarm) planner(n *node, i uint64) planner.Config {
+	t := sidecarserver.DefaultTransfer()
+	pc := planner.Config{
+		OriginRanks:   s.cfg.originRanks,
+		EagerRanks:    s.cfg.eagerRanks,
+		Neighbors:     t.Neighbors,
+		PeerWindow:    t.PeerWindow,
+		OriginWindow:  t.OriginWindow,
+		TotalWindow:   t.TotalWindow,
+		TakeoverAfter: s.cfg.takeover,
+		ChunkTimeout:  t.ChunkTimeout,
+	}
+	if s.cfg.planning != nil {
+		pc = *s.cfg.planning
+	}
+	pc.Self, pc.VersionDigest, pc.Chunks = n.member, s.digest, len(s.manifest.Chunks)
+	pc.OriginRegion = s.cfg.regions[0]
+	pc.Rand = rand.New(rand.NewPCG(s.cfg.seed, i))
+	return pc
+}
+
 func (s *swarm) originCopies() float64 {
 	return float64(s.platform.OriginBytes()) / float64(s.cfg.weightsBytes)
 }
--- a/internal/measurer/weights.go
+++ b/internal/measurer/weights.go
@@ -86,6 +86,7 @@
 		measureGrowth,
 		measureThreeRegions,
 		measureNextVersion,
+		measureDirect,
 		measureBaselines,
 		measureFaults,
 		measureLive,
--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -64,6 +64,22 @@
 	fetchRetryWait = 200 * time.Millisecond
 )
 
+// Planning returns how chunks are planned, without the transfer's own identity.
+func Planning() planner.Config {
+	return planner.Config{
+		OriginRanks:   originRanks,
+		OriginReaders: originReaders,
+		EagerRanks:    1,
+		Neighbors:     neighbors,
+		PeerWindow:    peerWindow,
+		OriginWindow:  originWindow,
+		TotalWindow:   totalWindow,
+		OriginBackoff: originBackoff,
+		TakeoverAfter: takeoverAfter,
+		ChunkTimeout:  chunkTimeout,
+	}
+}
+
 // fetch is the fetching of one version.
 type fetch struct {
 	stager  *Stager
@@ -224,27 +240,14 @@
 	}
 	s := f.stager
 	origin := platform.NewOrigin(f.plan.Origin)
+	pc := Planning()
+	pc.Self, pc.VersionDigest, pc.Chunks = s.cfg.Self, f.name, len(a.Manifest().Chunks)
+	pc.OriginRegion, pc.SettleTime = f.plan.OriginRegion, f.settleLeft()
+	pc.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	t := transferrer.New(transferrer.Config{
 		Assembly: a,
-		Planner: planner.Config{
-			Self:          s.cfg.Self,
-			VersionDigest: f.name,
-			Chunks:        len(a.Manifest().Chunks),
-			OriginRegion:  f.plan.OriginRegion,
-			OriginRanks:   originRanks,
-			OriginReaders: originReaders,
-			EagerRanks:    1,
-			Neighbors:     neighbors,
-			PeerWindow:    peerWindow,
-			OriginWindow:  originWindow,
-			TotalWindow:   totalWindow,
-			SettleTime:    f.settleLeft(),
-			OriginBackoff: originBackoff,
-			TakeoverAfter: takeoverAfter,
-			ChunkTimeout:  chunkTimeout,
-			Rand:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		},
-		Members: f.currentMembers(),
+		Planner:  pc,
+		Members:  f.currentMembers(),
 		Dial: func(ctx context.Context, instance string) (drpc.Conn, error) {
 			return s.cfg.Dialer.Dial(ctx, instance)
 		},
