--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -203,38 +203,12 @@
 	}
 }
 
-// leave gives up readiness, takes what still comes while the balancer notices and
-// finishes what is in progress.
-func (s *Server) leave(server *http.Server) {
-	logger.Log(s.cfg.Logger, logger.ProcessDraining, zap.Int64("in_progress", s.forward.InFlight()))
-	s.leaving.Store(true)
-	s.forward.Leave()
-	began := time.Now()
-	deadline := began.Add(configurator.Seconds(s.cfg.Settings.Bounds.GraceSeconds) - stopMargin)
-	time.Sleep(min(rotationTime, time.Until(deadline)))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	_ = server.Shutdown(ctx)
-}
-
 func (s *Server) prune(ctx context.Context) {
 	for pauser.Pause(ctx, maxIdle) {
 		s.pool.Prune(time.Now())
 	}
 }
 
-// handleReady answers the balancer. An outage of the store does not matter as long
-// as a configuration is known.
-func (s *Server) handleReady(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != platform.PathReady {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	if s.leaving.Load() || s.board.View().config.table == nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
 func (s *Server) mux() *drpcmux.Mux {
 	m := drpcmux.New()
 	if err := messenger.DRPCRegisterRelay(m, s); err != nil {
