Hand endpoints on when something changed, and wake waiting requests by time

Cause (reading, logs of 25 sidecars: 70 to 85 endpoint_changed lines a second without a change): each renewal of a sidecar's word counted as news, so that all endpoints were handed on some 80 times a second, with homes computed each time; at 2,200 endpoints that is a core. It also was what let waiting requests see the end of a pause. Now only news is handed on, a word that is not renewed for 3 s is dropped by the clock, and waiting requests are looked at every 25 ms.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -139,6 +139,12 @@
 	f.budgets.setEntries(n)
 }
 
+// Wake looks again at the requests that wait; time alone ends the pause of an
+// endpoint.
+func (f *Forwarder) Wake(now time.Time) {
+	f.gates.each(func(g *gate) { g.wake(now) })
+}
+
 // Report takes the load of an endpoint at a moment.
 func (f *Forwarder) Report(service, endpoint string, at time.Time, l balancer.Load) {
 	f.gates.of(service).report(f.cfg.Clock(), at, endpoint, l)
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -127,6 +127,14 @@
 	g.deliver(g.balancer.Report(now, at, endpoint, l, rand.Uint64()))
 }
 
+func (g *gate) wake(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.waiting) > 0 {
+		g.deliver(g.balancer.Wake(now))
+	}
+}
+
 func (g *gate) setEndpoints(now time.Time, endpoints []balancer.Endpoint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gatewayserver/endpoints.go
+++ b/internal/gatewayserver/endpoints.go
@@ -1,6 +1,7 @@
 package gatewayserver
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -31,16 +32,9 @@
 		s.list.endpoints = s.list.endpoints.WithStoreBack(now)
 	case controller.Tick:
 		s.list.endpoints = s.list.endpoints.WithTime(now)
+		s, actions = s.withoutOldWords(now)
 	case sidecarTold:
-		old, known := s.told[e.address]
-		if known && e.told.born < old.born {
-			return s, nil
-		}
-		s.told = cloned(s.told)
-		s.told[e.address] = e.told
-		return s, []controller.Action{endpointsChanged{}, note(logger.EndpointChanged,
-			zap.String("address", e.address), zap.Int64("born", e.told.born),
-			zap.Uint64("version", e.told.version), zap.Bool("switching", e.told.switching))}
+		return s.withTold(e)
 	default:
 		return s, nil
 	}
@@ -52,6 +46,37 @@
 	return s, actions
 }
 
+// withTold takes a sidecar's word. One that says the same again only renews it.
+func (s state) withTold(e sidecarTold) (state, []controller.Action) {
+	old, known := s.told[e.address]
+	if known && e.told.born < old.born {
+		return s, nil
+	}
+	s.told = cloned(s.told)
+	s.told[e.address] = e.told
+	if known && old.isSame(e.told) {
+		return s, nil
+	}
+	return s, []controller.Action{endpointsChanged{}, note(logger.EndpointChanged,
+		zap.String("address", e.address), zap.Int64("born", e.told.born),
+		zap.Uint64("version", e.told.version), zap.Bool("switching", e.told.switching))}
+}
+
+// withoutOldWords drops what sidecars said too long ago, so that the list counts
+// again.
+func (s state) withoutOldWords(now time.Time) (state, []controller.Action) {
+	old := false
+	for _, t := range s.told {
+		old = old || now.Sub(t.at) >= toldFor
+	}
+	if !old {
+		return s, nil
+	}
+	s.told = maps.Clone(s.told)
+	maps.DeleteFunc(s.told, func(_ string, t told) bool { return now.Sub(t.at) >= toldFor })
+	return s, []controller.Action{endpointsChanged{}}
+}
+
 // with returns the list after a reading of the store or of a peer's list.
 func (l list) with(now time.Time, e listRead) (list, []controller.Action) {
 	var actions []controller.Action
--- a/internal/gatewayserver/endpoints_test.go
+++ b/internal/gatewayserver/endpoints_test.go
@@ -97,3 +97,28 @@
 		})
 	}
 }
+
+// TestSidecarsWords checks that only news is handed on, and that a word that is not
+// renewed does not go before the list for ever.
+func TestSidecarsWords(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := endpointsController{}
+	say := func(s state, at time.Time, version uint64) (state, bool) {
+		s, actions := c.Handle(at, s, sidecarTold{address: "a", told: told{born: 1, version: version, at: at}})
+		return s, len(actions) > 0
+	}
+	s, _ := c.Handle(now, state{}, controller.Tick{})
+	s, news := say(s, now, 1)
+	is.True(news)
+	s, news = say(s, now.Add(time.Second), 1)
+	is.True(!news) // the same again
+	s, news = say(s, now.Add(2*time.Second), 2)
+	is.True(news)
+	s, actions := c.Handle(now.Add(2*time.Second+toldFor-1), s, controller.Tick{})
+	is.Equal(len(actions), 0)
+	is.Equal(len(s.told), 1)
+	s, actions = c.Handle(now.Add(2*time.Second+toldFor), s, controller.Tick{})
+	is.Equal(len(actions), 1) // the list counts again
+	is.Equal(len(s.told), 0)
+}
--- a/internal/gatewayserver/presence.go
+++ b/internal/gatewayserver/presence.go
@@ -140,7 +140,7 @@
 	v := s.board.View()
 	t := told{born: int64(l.GetBorn()), version: l.GetVersion(), switching: l.GetSwitching(), at: now}
 	old := v.told[l.GetEndpoint()]
-	if old.born != t.born || old.version != t.version || old.switching != t.switching || now.Sub(old.at) > toldFor/3 {
+	if !old.isSame(t) || now.Sub(old.at) > toldFor/3 {
 		s.board.Post(sidecarTold{address: l.GetEndpoint(), told: t})
 	}
 	for _, e := range v.list.endpoints.At(l.GetEndpoint()) {
--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -68,7 +68,8 @@
 	rotationTime = 3 * time.Second
 	// stopMargin is kept before the platform kills the process.
 	stopMargin = 700 * time.Millisecond
-	pollPause  = 20 * time.Millisecond
+	// wakeInterval is a fraction of the time for which requests wait.
+	wakeInterval = 25 * time.Millisecond
 	// revocationMargin covers the way of a request from the check to the endpoint.
 	revocationMargin = 150 * time.Millisecond
 	// denialShare of the configuration bound is how old a proof may be to deny a
@@ -174,6 +175,7 @@
 	wg.Go(func() { s.configFollower().run(background) })
 	wg.Go(func() { s.listFollower().run(background) })
 	wg.Go(func() { s.prune(background) })
+	wg.Go(func() { s.wake(background) })
 	wg.Go(func() { failed <- connector.Serve(background, nodes, nil, s.mux()) })
 	wg.Go(func() { failed <- readiness.Serve(ready) })
 	wg.Go(func() { failed <- server.Serve(callers) })
@@ -203,6 +205,13 @@
 	}
 }
 
+// wake lets requests that wait for the end of a pause be looked at.
+func (s *Server) wake(ctx context.Context) {
+	for pauser.Pause(ctx, wakeInterval) {
+		s.forward.Wake(s.cfg.Clock())
+	}
+}
+
 func (s *Server) prune(ctx context.Context) {
 	for pauser.Pause(ctx, maxIdle) {
 		s.pool.Prune(time.Now())
--- a/internal/gatewayserver/state.go
+++ b/internal/gatewayserver/state.go
@@ -64,6 +64,11 @@
 	at        time.Time
 }
 
+// isSame tells whether t says the same as u, at whatever time.
+func (t told) isSame(u told) bool {
+	return t.born == u.born && t.version == u.version && t.switching == u.switching
+}
+
 // Events of the blackboard.
 type (
 	configRead struct {
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -196,6 +196,10 @@
 	return started
 }
 
+// Wake looks again at the waiting requests, as when the pause of an endpoint is over,
+// and returns those that start now.
+func (b *Balancer) Wake(now time.Time) []Decision { return b.startWaiting(now) }
+
 // Expire refuses the waiting requests whose last useful start is over.
 func (b *Balancer) Expire(now time.Time) (refused []Decision) {
 	b.waiting = slices.DeleteFunc(b.waiting, func(w Request) bool {
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -205,3 +205,14 @@
 		})
 	}
 }
+
+func TestTimeAloneEndsAPause(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(endpoints(1, 4))
+	b.Ended(at(0), "a", 0, balancer.ResultRefused)
+	is.Equal(b.Offer(at(10), request(1, at(10))).Outcome, balancer.OutcomeQueued)
+	is.Equal(len(b.Wake(at(90))), 0)
+	started := b.Wake(at(101))
+	is.Equal(len(started), 1)
+	is.Equal(started[0].ID, uint64(1))
+}
