--- a/internal/forwarder/begin.go
+++ b/internal/forwarder/begin.go
@@ -44,7 +44,8 @@
 
 // untilBegun returns a context that ends when the endpoint's version may not begin
 // the call any more, unless begun is called before: an endpoint under load may keep
-// a request waiting for longer than versionMargin.
+// a request waiting for longer than versionMargin. A whole answer comes at the end of
+// a run, so that nothing tells whether it has begun.
 func (f *Forwarder) untilBegun(c *call, e balancer.Endpoint, now time.Time) (ctx context.Context, begun func()) {
 	var by time.Time
 	for _, v := range f.boundVersions(c) {
@@ -53,7 +54,7 @@
 			by = at
 		}
 	}
-	if by.IsZero() {
+	if by.IsZero() || !c.isStream() {
 		return c.ctx, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -174,11 +174,13 @@
 	short.Timeout = 150 * time.Millisecond
 	long := route("long", resolver.KindStreaming, 2, false)
 	long.Timeout = 3 * time.Second
+	whole := route("whole", resolver.KindSafe, 2, false)
+	whole.Timeout = 3 * time.Second
 	return resolver.Configuration{
 		Version: 1,
 		Routes: []resolver.Route{
 			route("safe", resolver.KindSafe, 2, false), route("unsafe", resolver.KindUnsafe, 2, false),
-			route("stream", resolver.KindStreaming, 2, true), route("once", resolver.KindStreaming, 2, false), keyed, short, long,
+			route("stream", resolver.KindStreaming, 2, true), route("once", resolver.KindStreaming, 2, false), keyed, short, long, whole,
 		},
 		Services:   []resolver.Service{{Name: "s"}},
 		Workspaces: []resolver.Workspace{{Name: "w", Keys: []string{"k"}}},
@@ -460,13 +462,15 @@
 	tests := map[string]struct {
 		// left is the time until the bound.
 		left   time.Duration
+		route  string
 		script script
 		status int
 		taken  time.Duration
 	}{
-		"it waits":        {left: 1300 * time.Millisecond, script: hangs, status: http.StatusBadGateway, taken: time.Second},
-		"it has begun":    {left: 1300 * time.Millisecond, script: beginsAndTakes(1500 * time.Millisecond), status: http.StatusOK, taken: 1500 * time.Millisecond},
-		"it may not come": {left: 1100 * time.Millisecond, script: answers("x"), status: http.StatusServiceUnavailable},
+		"it waits":        {left: 1300 * time.Millisecond, route: "long", script: hangs, status: http.StatusBadGateway, taken: time.Second},
+		"it has begun":    {left: 1300 * time.Millisecond, route: "long", script: beginsAndTakes(1500 * time.Millisecond), status: http.StatusOK, taken: 1500 * time.Millisecond},
+		"a whole answer":  {left: 1300 * time.Millisecond, route: "whole", script: answersAfter(1500 * time.Millisecond), status: http.StatusOK, taken: 1500 * time.Millisecond},
+		"it may not come": {left: 1100 * time.Millisecond, route: "long", script: answers("x"), status: http.StatusServiceUnavailable},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -480,7 +484,7 @@
 				b.Versions = map[string][]forwarder.Version{"": {{Version: 2, LearnedAt: time.Now().Add(tc.left - versionBound)}}}
 			})
 			f.forwarder.SetEndpoints("s", []balancer.Endpoint{{ID: "e0", Address: e.server.Listener.Addr().String(), Slots: 4, Ready: true, Version: 1}})
-			r := f.call(t.Context(), t, "long")
+			r := f.call(t.Context(), t, tc.route)
 			is.Equal(r.status, tc.status)
 			is.True(r.taken >= tc.taken)
 			is.True(r.taken < tc.taken+800*time.Millisecond)
@@ -499,3 +503,11 @@
 		_, _ = io.WriteString(w, event(2))
 	}
 }
+
+// answersAfter gives a whole answer at the end of a run.
+func answersAfter(d time.Duration) script {
+	return func(e *endpoint, w http.ResponseWriter, r *http.Request) {
+		time.Sleep(d)
+		answers("x")(e, w, r)
+	}
+}
