Say unknown where an attempt may have run, also when another one is forbidden

Found by a test written for something else (bodies that endpoints die of): a request that had killed its endpoint was told 503 'not run' with code convicted, because the check before its second attempt did not look at the first one. The same held for a key that was taken away between two attempts. The test failed before; it also shows that both entries stop such a body at the third death and serve others.

--- a/internal/forwarder/place.go
+++ b/internal/forwarder/place.go
@@ -26,6 +26,10 @@
 		// What held when the request came may have changed while it waited.
 		if p := f.mayStart(c, f.cfg.Beliefs()); p != nil {
 			g.ended(now, d.Endpoint.ID, d.ID, balancer.ResultLeft)
+			if c.unknown != nil {
+				// An earlier attempt may have run it, whatever forbids another one.
+				return d, f.unknown(c)
+			}
 			return d, p
 		}
 		return d, nil
