Fetch a version again that the endpoint lost while it was read for others

When the endpoint died meanwhile, the half-read fetch stayed, and with it the endpoint stayed empty. The stager's test (six moments of the death) failed in five before.

--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -43,9 +43,10 @@
 	originTimeout = 4 * time.Second
 	// settleTime is how long after its start a transfer of a version that others
 	// may hold leaves the origin alone, and linkSettle how long neighbours have at
-	// least to tell what they hold, which takes some milliseconds.
+	// least to tell what they hold: some milliseconds, and some hundred where the
+	// processors are busy with starting.
 	settleTime = 500 * time.Millisecond
-	linkSettle = 200 * time.Millisecond
+	linkSettle = 400 * time.Millisecond
 	// fetchRetryWait is the pause after a transfer that failed as a whole.
 	fetchRetryWait = 200 * time.Millisecond
 )
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -255,21 +255,21 @@
 // startFetch fetches the wanted version. An older one that is under way goes
 // first, unless it is superseded.
 func (s *Stager) startFetch(ctx context.Context, now time.Time, loaded uint64) {
-	if s.fetches[s.plan.Version] != nil {
-		return
+	if f := s.fetches[s.plan.Version]; f != nil {
+		if !f.adopt || f.isComplete() || loaded == s.plan.Version {
+			return
+		}
+		// The endpoint lost the version while its chunks were read from it.
+		s.drop(f)
 	}
 	for v, f := range s.fetches {
 		switch {
 		case v < loaded:
-			f.cancel()
-			s.cfg.Store.Drop(f.name)
-			delete(s.fetches, v)
+			s.drop(f)
 		case f.isComplete() || f.adopt:
 		case switcher.Supersedes(s.plan.NamedAt.Sub(f.plan.NamedAt), s.copyTime(), s.mayBeginFor(now, loaded), f.heldShare()),
 			now.Sub(f.plan.NamedAt) > s.cfg.VersionBound:
-			f.cancel()
-			s.cfg.Store.Drop(f.name)
-			delete(s.fetches, v)
+			s.drop(f)
 		default:
 			return
 		}
@@ -277,6 +277,13 @@
 	s.fetches[s.plan.Version] = s.newFetch(ctx, now, s.plan, loaded == s.plan.Version)
 }
 
+// drop gives up a fetch and what it has got.
+func (s *Stager) drop(f *fetch) {
+	f.cancel()
+	s.cfg.Store.Drop(f.name)
+	delete(s.fetches, f.version)
+}
+
 // mayBeginFor is how long the loaded version may still begin requests.
 func (s *Stager) mayBeginFor(now time.Time, loaded uint64) time.Duration {
 	for _, n := range s.named {
--- /dev/null
+++ b/internal/stager/stager_test.go
@@ -0,0 +1,116 @@
+package stager_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"flamingoledge.org/flamingoledge/internal/connector"
+	"flamingoledge.org/flamingoledge/internal/stager"
+	"flamingoledge.org/flamingoledge/internal/transferrer"
+	"flamingoledge.org/flamingoledge/pkg/planner"
+	"flamingoledge.org/flamingoledge/platform"
+	"flamingoledge.org/flamingoledge/platform/standin"
+)
+
+const (
+	testTimeout = 10 * time.Second
+	model       = "m"
+	chunks      = 8
+	chunkBytes  = 1024
+)
+
+// endpoint keeps what is staged and loads it at once.
+type endpoint struct {
+	mu     sync.Mutex
+	staged map[int][]byte
+	loaded uint64
+	orders int64
+}
+
+func (e *endpoint) Stage(_ string, index int, data []byte) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.staged[index] = data
+	return nil
+}
+
+func (e *endpoint) Staged(_ string, index int) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if data, ok := e.staged[index]; ok {
+		return data, nil
+	}
+	return nil, errors.New("nothing is staged")
+}
+
+func (e *endpoint) Load(_ string, version uint64, _ int64) (platform.Order, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loaded = version
+	e.orders++
+	return platform.OrderTaken, nil
+}
+
+func (e *endpoint) report() platform.Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := platform.Report{Born: 1, Ordered: e.orders}
+	if e.loaded != 0 {
+		r.Models = []platform.ReportedModel{{Model: model, Version: e.loaded, Whole: true}}
+	}
+	return r
+}
+
+// TestEndpointLosesItsVersion lets an endpoint restart empty while the chunks of the
+// version that it had loaded were read from it for others.
+func TestEndpointLosesItsVersion(t *testing.T) {
+	tests := map[string]struct{ readable int }{
+		"before any was read":  {},
+		"when some were read":  {readable: chunks / 2},
+		"when all were read":   {readable: chunks},
+		"when one is lacking":  {readable: chunks - 1},
+		"after the first one":  {readable: 1},
+		"in the second chunk ": {readable: 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			weights := standin.NewWeights(model, chunks, chunkBytes, 1)
+			origin, err := standin.NewOrigin(weights)
+			is.NoErr(err)
+			t.Cleanup(origin.Close)
+			e := &endpoint{staged: map[int][]byte{}, loaded: 1}
+			for i := range tc.readable {
+				e.staged[i] = weights.Versions[1][i]
+			}
+			self := planner.Member{Instance: "127.0.0.1:1", Region: "r"}
+			s := stager.New(stager.Config{
+				Self: self, Endpoint: e, Store: transferrer.NewStore(), Dialer: &connector.Dialer{}, Clock: time.Now,
+				VersionBound: time.Minute, BytesPerSecond: 1 << 20, Logger: zap.NewNop(),
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			s.SetPlan(stager.Plan{
+				Model: model, Version: 1, NamedAt: time.Now().Add(-time.Hour), Held: true, Chunks: chunks, ChunkBytes: chunkBytes,
+				Origin: origin.Address(), OriginRegion: "r", Members: []planner.Member{self},
+			})
+			s.Step(ctx, time.Now(), e.report())
+			time.Sleep(300 * time.Millisecond) // what can be read is read
+			e.mu.Lock()
+			e.loaded, e.staged = 0, map[int][]byte{}
+			e.mu.Unlock()
+			for e.report().Models == nil {
+				is.NoErr(ctx.Err()) // it has its version again
+				s.Step(ctx, time.Now(), e.report())
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+}
