Exchange chunks with the instances of the last seconds, not only those in the list

When it was back the list shrank from 27 endpoints to 21, 12 and 4, as their entries had lapsed, while the sidecars were up: each took itself for the first of its region and read everything from the origin (trace: all ranks 0, region of 1), which sent 4.7 to 6.0 copies; the first endpoint loaded at 44.6 to 47.9 s, half of them at 55.6 s. Ruled out: the window of local fetches (origin flights beside it) and one chunk a reader at a time, both tried together: 54.9 s; reverted. Change: members of plans count for 10 s.

--- a/internal/agentserver/server.go
+++ b/internal/agentserver/server.go
@@ -216,7 +216,7 @@
 		plan.Members = append(plan.Members, planner.Member{Instance: m.GetAddress(), Region: m.GetRegion()})
 	}
 	s.model = plan.Model
-	s.stager.SetPlan(plan)
+	s.stager.SetPlan(now, plan)
 }
 
 // followPlan asks one entry after the other what the endpoint should hold.
--- /dev/null
+++ b/internal/stager/carriers_test.go
@@ -0,0 +1,38 @@
+package stager
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/pkg/planner"
+)
+
+func TestCarriersOutliveTheList(t *testing.T) {
+	start := time.Unix(1000, 0)
+	a, b := planner.Member{Instance: "a", Region: "r"}, planner.Member{Instance: "b", Region: "r"}
+	tests := map[string]struct {
+		// later are the members of a plan some time after the first one, a and b.
+		later []planner.Member
+		after time.Duration
+		want  []planner.Member
+	}{
+		"the list shrinks":               {later: []planner.Member{a}, after: 2 * time.Second, want: []planner.Member{a, b}},
+		"the list is empty":              {after: 9 * time.Second, want: []planner.Member{a, b}},
+		"one does not come back":         {later: []planner.Member{a}, after: keepCarriers + 1, want: []planner.Member{a}},
+		"one changes its region":         {later: []planner.Member{{Instance: "a", Region: "q"}}, after: time.Second, want: []planner.Member{{Instance: "a", Region: "q"}, b}},
+		"nothing is known any more":      {after: keepCarriers + 1},
+		"the list comes back in a while": {later: []planner.Member{a, b}, after: time.Minute, want: []planner.Member{a, b}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var c carriers
+			c.saw(start, []planner.Member{b, a})
+			now := start.Add(tc.after)
+			c.saw(now, tc.later)
+			is.Equal(c.at(now), tc.want)
+		})
+	}
+}
--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -94,7 +94,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	f := &fetch{
 		stager: s, model: p.Model, version: p.Version, name: versionName(p.Model, p.Version), plan: p,
-		cancel: cancel, adopt: adopt, began: now, members: p.Members,
+		cancel: cancel, adopt: adopt, began: now, members: s.carriers.at(now),
 	}
 	if p.Held || now.Sub(p.NamedAt) > adoptAfter {
 		f.settle = settleTime
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -67,6 +67,8 @@
 	cfg   Config
 	plan  Plan
 	named []switcher.Named
+	// carriers are the instances that chunks are exchanged with.
+	carriers carriers
 	// fetches are the versions that are being fetched or complete.
 	fetches map[uint64]*fetch
 
@@ -88,15 +90,16 @@
 func (s *Stager) Switching() bool { return s.switching.Load() }
 
 // SetPlan takes a newer plan.
-func (s *Stager) SetPlan(p Plan) {
+func (s *Stager) SetPlan(now time.Time, p Plan) {
 	s.plan = p
+	s.carriers.saw(now, p.Members)
 	known := slices.ContainsFunc(s.named, func(n switcher.Named) bool { return n.Version == p.Version })
 	if p.Version != 0 && !known {
 		s.named = append(s.named, switcher.Named{Version: p.Version, At: p.NamedAt})
 		slices.SortFunc(s.named, func(a, b switcher.Named) int { return int(int64(a.Version) - int64(b.Version)) })
 	}
 	for _, f := range s.fetches {
-		f.setMembers(p.Members)
+		f.setMembers(s.carriers.at(now))
 	}
 }
 
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -97,7 +97,7 @@
 			})
 			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 			defer cancel()
-			s.SetPlan(stager.Plan{
+			s.SetPlan(time.Now(), stager.Plan{
 				Model: model, Version: 1, NamedAt: time.Now().Add(-time.Hour), Held: true, Chunks: chunks, ChunkBytes: chunkBytes,
 				Origin: origin.Address(), OriginRegion: "r", Members: []planner.Member{self},
 			})
