--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -153,6 +153,10 @@
 func (f *fetch) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := f.try(ctx)
+		if err == nil && !f.isComplete() {
+			// The endpoint did not let its chunks be read.
+			return
+		}
 		if err == nil {
 			logger.Log(f.stager.cfg.Logger, logger.ChunksComplete, zap.Uint64("version", f.version),
 				zap.Bool("adopted", f.adopt), zap.Duration("taken", f.stager.cfg.Clock().Sub(f.began)))
