--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -246,57 +246,6 @@
 	return out
 }
 
-// Prepare begins to fetch while the endpoint does not answer yet, as on a new
-// instance. It waits until the version is known for a while: an endpoint that
-// starts with the others may hold the version already.
-func (s *Stager) Prepare(ctx context.Context, now time.Time) {
-	if s.plan.Version != 0 && now.Sub(s.plan.NamedAt) > adoptAfter && len(s.fetches) == 0 {
-		s.startFetch(ctx, now, 0)
-	}
-}
-
-// startFetch fetches the wanted version. An older one that is under way goes
-// first, unless it is superseded.
-func (s *Stager) startFetch(ctx context.Context, now time.Time, loaded uint64) {
-	if f := s.fetches[s.plan.Version]; f != nil {
-		if !f.adopt || f.isComplete() || loaded == s.plan.Version {
-			return
-		}
-		// The endpoint lost the version while its chunks were read from it.
-		s.drop(f)
-	}
-	for v, f := range s.fetches {
-		switch {
-		case v < loaded:
-			s.drop(f)
-		case f.isComplete() || f.adopt:
-		case switcher.Supersedes(s.plan.NamedAt.Sub(f.plan.NamedAt), s.copyTime(), s.mayBeginFor(now, loaded), f.heldShare()),
-			now.Sub(f.plan.NamedAt) > s.cfg.VersionBound:
-			s.drop(f)
-		default:
-			return
-		}
-	}
-	s.fetches[s.plan.Version] = s.newFetch(ctx, now, s.plan, loaded == s.plan.Version)
-}
-
-// drop gives up a fetch and what it has got.
-func (s *Stager) drop(f *fetch) {
-	f.cancel()
-	s.cfg.Store.Drop(f.name)
-	delete(s.fetches, f.version)
-}
-
-// mayBeginFor is how long the loaded version may still begin requests.
-func (s *Stager) mayBeginFor(now time.Time, loaded uint64) time.Duration {
-	for _, n := range s.named {
-		if n.Version > loaded {
-			return n.At.Add(s.cfg.VersionBound).Sub(now)
-		}
-	}
-	return s.cfg.VersionBound
-}
-
 // versionName names a version among the sidecars.
 func versionName(model string, version uint64) string {
 	return model + "@" + strconv.FormatUint(version, 10)
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -109,30 +109,6 @@
 	lastArrival time.Time
 }
 
-type flight struct {
-	source string
-	since  time.Time
-}
-
-// flights are the fetches of one chunk that are under way, the first one first.
-type flights struct {
-	all [maxInFlightPerChunk]flight
-	n   int
-}
-
-// without returns the flights but the one from source; false if there is none.
-func (f flights) without(source string) (flights, bool) {
-	for k := range f.n {
-		if f.all[k].source != source {
-			continue
-		}
-		copy(f.all[k:], f.all[k+1:f.n])
-		f.n--
-		return f, true
-	}
-	return f, false
-}
-
 // Planner plans the fetches of one version for one instance.
 type Planner struct {
 	cfg Config
@@ -297,23 +273,3 @@
 	}
 	return pr
 }
-
-// land ends the flight of chunk i from source, if there is one.
-func (p *Planner) land(i int, source string) {
-	rest, ok := p.flights[i].without(source)
-	if !ok {
-		return
-	}
-	p.inFlight--
-	if source == "" {
-		p.originInFlight--
-	} else if pr := p.peers[source]; pr != nil {
-		pr.inFlight--
-	}
-	if rest.n == 0 {
-		p.busy.Remove(i)
-		delete(p.flights, i)
-		return
-	}
-	p.flights[i] = rest
-}
