Note when a version was named also where it was read as a start reads

Only readings of the log noted the time, so that it was kept nowhere, and after all instances were killed the bound began anew. Change: whoever reads a version from the store without a kept time notes it, unless one is kept meanwhile, which is then taken over.

--- a/internal/gatewayserver/configuration.go
+++ b/internal/gatewayserver/configuration.go
@@ -80,7 +80,7 @@
 	age := now.Sub(c.newest(named.Model).LearnedAt)
 	actions := []controller.Action{note(logger.VersionNamed, zap.String("model", named.Model),
 		zap.Uint64("version", named.Version), zap.Duration("age", age), zap.String("source", e.source))}
-	if e.live {
+	if e.source == sourceStore && !e.tells(named) {
 		actions = append(actions, versionSeen{model: named.Model, version: named.Version})
 	}
 	return c, actions
--- a/internal/gatewayserver/namings.go
+++ b/internal/gatewayserver/namings.go
@@ -1,6 +1,7 @@
 package gatewayserver
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,13 +19,20 @@
 
 // readNamings reads when versions were named. Without an answer the versions count
 // from now on, as far as this process knows.
-func (s *Server) readNamings() (out []naming) {
+func (s *Server) readNamings() []naming {
 	store := platform.NewNamingStore(s.cfg.Settings.Store)
 	defer store.Close()
-	values, _, err := store.Newest(storeTimeout)
+	out, err := s.namingsIn(store)
 	if err != nil {
 		logger.Log(s.cfg.Logger, logger.NamingsUnread, zap.Error(err))
-		return nil
+	}
+	return out
+}
+
+func (s *Server) namingsIn(store *platform.Store) (out []naming, err error) {
+	values, _, err := store.Newest(storeTimeout)
+	if err != nil {
+		return nil, err
 	}
 	for _, v := range values {
 		n, derr := platform.DecodeNaming(v.Key, v.Data)
@@ -34,23 +42,37 @@
 		}
 		out = append(out, naming{model: n.Model, version: n.Version, age: n.Age(time.Now())})
 	}
-	return out
+	return out, nil
 }
 
-// noteNaming keeps in the store that a version was named now.
-func (s *Server) noteNaming(model string, version uint64) {
+// noteNaming keeps in the store that a version was named at a time, unless that is
+// kept already: what is there is from an entry that learned of it before.
+func (s *Server) noteNaming(model string, version uint64, at time.Time) {
 	store := platform.NewNamingStore(s.cfg.Settings.Store)
 	defer store.Close()
-	n := platform.Naming{Model: model, Version: version, NamedUnixMillis: time.Now().UnixMilli()}
-	value, err := n.Encode()
+	var err error
 	for range namingTries {
-		if err == nil {
-			err = store.Append(n.Key(), value, storeTimeout)
-		}
-		if err == nil {
+		if err = s.tryNoteNaming(store, platform.Naming{Model: model, Version: version, NamedUnixMillis: at.UnixMilli()}); err == nil {
 			return
 		}
 		time.Sleep(s.jitter(namingPause))
 	}
 	logger.Log(s.cfg.Logger, logger.NamingUnkept, zap.String("model", model), zap.Uint64("version", version), zap.Error(err))
 }
+
+func (s *Server) tryNoteNaming(store *platform.Store, n platform.Naming) error {
+	kept, err := s.namingsIn(store)
+	if err != nil {
+		return err
+	}
+	for _, one := range kept {
+		if one.model == n.Model && one.version == n.Version {
+			return s.board.Send(context.Background(), configRead{namings: []naming{one}})
+		}
+	}
+	value, err := n.Encode()
+	if err != nil {
+		return err
+	}
+	return store.Append(n.Key(), value, storeTimeout)
+}
--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -235,7 +235,7 @@
 		s.applyEndpoints()
 		s.changed.Notify()
 	case versionSeen:
-		go s.noteNaming(a.model, a.version)
+		go s.noteNaming(a.model, a.version, time.Now())
 	case beliefWanted:
 		s.askForBelief(a.address)
 	}
@@ -262,7 +262,7 @@
 	return &follower{
 		server: s, store: platform.NewConfigurationStore(s.cfg.Settings.Store), wait: configWait,
 		take: func(values []platform.Value, snapshot bool, began time.Time) error {
-			e := configRead{values: values, began: began, source: sourceStore, live: !snapshot}
+			e := configRead{values: values, began: began, source: sourceStore}
 			if snapshot {
 				e.namings = s.readNamings()
 			}
--- a/internal/gatewayserver/state.go
+++ b/internal/gatewayserver/state.go
@@ -78,9 +78,6 @@
 		source string
 		// namings are the ages of versions, as far as others noted them.
 		namings []naming
-		// live says that the values came as they were written, so that versions
-		// were named just now.
-		live bool
 	}
 	listRead struct {
 		values   []platform.Value
@@ -97,6 +94,11 @@
 	}
 )
 
+// tells tells whether the reading says when a version was named.
+func (e configRead) tells(v platform.NamedVersion) bool {
+	return slices.ContainsFunc(e.namings, func(n naming) bool { return n.model == v.Model && n.version == v.Version })
+}
+
 // naming is a version with the time since it was named.
 type naming struct {
 	model   string
