Report loads to the entries that subscribe, and spread presences as gossip

Cause (large deployment, 35 entries and 156 to 265 sidecars): each sidecar sent each change of its load to 32 entries drawn at random. By the code that is up to 83,000 datagrams a second in all and 2,400 to an entry, while 3 of 35 entries got none of an endpoint, its home among them. And presences went to 12 of 34 peers at random, so that one in 230 pairs heard nothing for 2.5 s: a live peer was lost, and homes moved, every few seconds at each entry.

Endpoints that are not reported get requests only if no other one can run them. A report tells how many entries get it, and these share the free slots. pkg/tracker spreads in each message when peers were known to be alive.

Tried for the peers and dropped: messages to the longest silent ones (all processes choose the same ones), reports of the most recently heard ones (others are never reported).

--- /dev/null
+++ b/internal/agentserver/load.go
@@ -0,0 +1,129 @@
+package agentserver
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/internal/stager"
+	"flamingoledge.org/flamingoledge/platform"
+)
+
+const (
+	// subscriptionTimeout is how long a subscription lasts without renewal; it covers
+	// several lost ones.
+	subscriptionTimeout = 3 * time.Second
+	// unchangedReportInterval is the time after which an unchanged load is reported
+	// again.
+	unchangedReportInterval = 400 * time.Millisecond
+	// intervalTolerance is how much too early a report may be sent, because polls are
+	// not exactly pollInterval apart.
+	intervalTolerance = pollInterval / 2
+)
+
+// receiver is an entry that has subscribed to the endpoint's load.
+type receiver struct {
+	interval  time.Duration
+	expiresAt time.Time
+	// lastLoad is the load reported last, at lastSentAt.
+	lastLoad   *messenger.LoadReport
+	lastSentAt time.Time
+}
+
+// receivers holds the receivers by address. It is safe for concurrent use.
+type receivers struct {
+	mu        sync.Mutex
+	byAddress map[netip.AddrPort]*receiver
+}
+
+// subscribe adds or renews the subscription of an entry.
+func (rs *receivers) subscribe(now time.Time, from netip.AddrPort, interval time.Duration) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if rs.byAddress == nil {
+		rs.byAddress = map[netip.AddrPort]*receiver{}
+	}
+	r := rs.byAddress[from]
+	if r == nil {
+		r = &receiver{}
+		rs.byAddress[from] = r
+	}
+	r.interval, r.expiresAt = interval, now.Add(subscriptionTimeout)
+}
+
+// due returns the receivers to which l is to be reported now, and the number of all
+// receivers. It records the report.
+func (rs *receivers) due(now time.Time, l *messenger.LoadReport) (due []netip.AddrPort, total int) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	for address, r := range rs.byAddress {
+		if !now.Before(r.expiresAt) {
+			delete(rs.byAddress, address)
+			continue
+		}
+		if r.isDue(now, l) {
+			r.lastLoad, r.lastSentAt = l, now
+			due = append(due, address)
+		}
+	}
+	return due, len(rs.byAddress)
+}
+
+// isDue reports whether l is to be reported to r now. A change of what the endpoint
+// serves is reported at once, a change of its load after the subscribed interval.
+func (r *receiver) isDue(now time.Time, l *messenger.LoadReport) bool {
+	elapsed := now.Sub(r.lastSentAt)
+	switch {
+	case r.lastLoad == nil || !isSameStatus(l, r.lastLoad):
+		return true
+	case !isSameLoad(l, r.lastLoad):
+		return elapsed >= r.interval-intervalTolerance
+	default:
+		return elapsed >= max(r.interval, unchangedReportInterval)
+	}
+}
+
+// isSameStatus reports whether the endpoint serves the same in a and b.
+func isSameStatus(a, b *messenger.LoadReport) bool {
+	return a.GetBorn() == b.GetBorn() && a.GetVersion() == b.GetVersion() && a.GetSwitching() == b.GetSwitching()
+}
+
+// isSameLoad reports whether the load is the same in a and b. It ignores the use of the
+// KV cache.
+func isSameLoad(a, b *messenger.LoadReport) bool {
+	return a.GetActive() == b.GetActive() && a.GetQueued() == b.GetQueued() && a.GetPace() == b.GetPace()
+}
+
+// handleDatagram processes a received subscription.
+func (s *Server) handleDatagram(from netip.AddrPort, d *messenger.Datagram) {
+	if sub := d.GetSubscription(); sub != nil {
+		s.receivers.subscribe(s.cfg.Clock(), from, time.Duration(sub.GetIntervalMs())*time.Millisecond)
+	}
+}
+
+// reportLoad reports the endpoint's load to the receivers to which it is due.
+func (s *Server) reportLoad(now time.Time, r platform.Report) {
+	l := &messenger.LoadReport{
+		Endpoint:     s.cfg.Settings.EndpointAddress,
+		Born:         uint64(r.Born),
+		Active:       uint32(r.Active),
+		Queued:       uint32(r.Queued),
+		KvUsed:       uint32(r.KVUsed),
+		KvTotal:      uint32(r.KVTotal),
+		Pace:         float32(r.Pace),
+		Version:      stager.LoadedVersion(r, s.model),
+		Switching:    s.stager.Switching() || r.Loading,
+		StartedNanos: s.startedNanos,
+	}
+	due, total := s.receivers.due(now, l)
+	if len(due) == 0 {
+		return
+	}
+	s.sequence++
+	l.Sequence, l.Receivers = s.sequence, uint32(total)
+	unsent, err := s.socket.SendAll(due, &messenger.Datagram{Load: l})
+	if err != nil {
+		s.cfg.Metrics.Add("reports_unsent", int64(unsent))
+	}
+}
--- /dev/null
+++ b/internal/agentserver/load_test.go
@@ -0,0 +1,69 @@
+package agentserver
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/internal/messenger"
+)
+
+// TestReceiversDue replays the polls of an endpoint whose load or status changes and
+// counts the reports to one subscribed entry.
+func TestReceiversDue(t *testing.T) {
+	start := time.Unix(1000, 0)
+	entry := netip.MustParseAddrPort("10.0.0.1:7700")
+	tests := map[string]struct {
+		interval time.Duration
+		// load and switching are those of the i-th poll.
+		load      func(i int) uint32
+		switching func(i int) bool
+		polls     int
+		reports   int
+	}{
+		"each change":                  {interval: pollInterval, load: func(i int) uint32 { return uint32(i) }, polls: 20, reports: 20},
+		"changes at a longer interval": {interval: 4 * pollInterval, load: func(i int) uint32 { return uint32(i) }, polls: 20, reports: 5},
+		"unchanged":                    {interval: pollInterval, polls: 20, reports: 3},
+		"unchanged, long interval":     {interval: 20 * pollInterval, polls: 20, reports: 1},
+		"status changes at once":       {interval: 20 * pollInterval, switching: func(i int) bool { return i == 7 }, polls: 20, reports: 3},
+		"expired":                      {interval: pollInterval, load: func(i int) uint32 { return uint32(i) }, polls: 100, reports: 50},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var rs receivers
+			rs.subscribe(start, entry, tc.interval)
+			reports := 0
+			for i := range tc.polls {
+				l := &messenger.LoadReport{}
+				if tc.load != nil {
+					l.Active = tc.load(i)
+				}
+				if tc.switching != nil {
+					l.Switching = tc.switching(i)
+				}
+				due, _ := rs.due(start.Add(time.Duration(i)*pollInterval), l)
+				reports += len(due)
+			}
+			is.Equal(reports, tc.reports)
+		})
+	}
+}
+
+// TestSubscriptionsCount checks that a report names the number of entries with a valid
+// subscription.
+func TestSubscriptionsCount(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	var rs receivers
+	rs.subscribe(start, netip.MustParseAddrPort("10.0.0.1:1"), pollInterval)
+	rs.subscribe(start.Add(time.Second), netip.MustParseAddrPort("10.0.0.2:1"), pollInterval)
+	due, total := rs.due(start.Add(time.Second), &messenger.LoadReport{})
+	is.Equal(len(due), 2)
+	is.Equal(total, 2)
+	due, total = rs.due(start.Add(subscriptionTimeout), &messenger.LoadReport{Active: 1})
+	is.Equal(len(due), 1)
+	is.Equal(total, 1)
+}
--- a/internal/agentserver/server.go
+++ b/internal/agentserver/server.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -44,9 +43,6 @@
 	// pollInterval is the time between reads of the endpoint's report, by which entries
 	// route requests. A read costs the endpoint nothing.
 	pollInterval = 60 * time.Millisecond
-	// loadReportInterval is the time after which an unchanged load is sent to the
-	// entries again.
-	loadReportInterval = 400 * time.Millisecond
 	// transferShare is the share of the link for weights; the rest is left to live
 	// requests.
 	transferShare = 0.92
@@ -57,8 +53,6 @@
 	// planRetryDelay is the minimum pause after a failed request for the plan. A random
 	// delay of up to the same length is added.
 	planRetryDelay = 150 * time.Millisecond
-	// maxLoadReceivers is the maximum number of entries to which the load is sent.
-	maxLoadReceivers = 32
 )
 
 // Server is the sidecar of one endpoint.
@@ -73,8 +67,10 @@
 	uploadPacer *pacer.Pacer
 	dialer      connector.Dialer
 
-	// entries are the addresses of the entries to which the load is sent.
+	// entries are the addresses of the entries in the latest plan.
 	entries atomic.Pointer[[]string]
+	// receivers are the entries to which the load is reported.
+	receivers receivers
 	// plans contains the latest plan that is not yet applied.
 	plans chan *messenger.PlanReply
 	// model is the model of the applied plan.
@@ -84,9 +80,6 @@
 	// start time of this process in Unix nanoseconds, it orders the reports.
 	sequence     uint64
 	startedNanos uint64
-	// lastLoad is the load sent last, at lastSentAt.
-	lastLoad   *messenger.LoadReport
-	lastSentAt time.Time
 }
 
 // New returns a Server that listens on its UDP socket; Run starts it.
@@ -136,11 +129,11 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { s.pollPlan(ctx) })
 	wg.Go(func() { s.monitorEndpoint(ctx) })
+	wg.Go(func() { s.socket.Receive(ctx, s.handleDatagram) })
 	logger.Log(s.cfg.Logger, logger.ProcessStarted, zap.String("address", s.self), zap.String("endpoint", s.cfg.Settings.EndpointAddress))
 	err = connector.Serve(ctx, lis, nil, mux)
 	cancel()
 	wg.Wait()
-	s.socket.Close()
 	logger.Log(s.cfg.Logger, logger.ProcessStopped)
 	return err
 }
@@ -170,49 +163,10 @@
 		}
 		now := s.cfg.Clock()
 		s.stager.Reconcile(ctx, now, r)
-		s.sendLoad(now, r)
+		s.reportLoad(now, r)
 	}
 }
 
-// sendLoad sends the endpoint's load to the entries if it has changed or was last sent
-// loadReportInterval ago.
-func (s *Server) sendLoad(now time.Time, r platform.Report) {
-	l := &messenger.LoadReport{
-		Endpoint:     s.cfg.Settings.EndpointAddress,
-		Born:         uint64(r.Born),
-		Active:       uint32(r.Active),
-		Queued:       uint32(r.Queued),
-		KvUsed:       uint32(r.KVUsed),
-		KvTotal:      uint32(r.KVTotal),
-		Pace:         float32(r.Pace),
-		Version:      stager.LoadedVersion(r, s.model),
-		Switching:    s.stager.Switching() || r.Loading,
-		StartedNanos: s.startedNanos,
-	}
-	if s.lastLoad != nil && now.Sub(s.lastSentAt) < loadReportInterval && isSameLoad(l, s.lastLoad) {
-		return
-	}
-	s.sequence++
-	l.Sequence = s.sequence
-	s.lastLoad, s.lastSentAt = l, now
-	for _, address := range *s.entries.Load() {
-		ap, err := netip.ParseAddrPort(address)
-		if err != nil {
-			continue
-		}
-		if err = s.socket.Send(ap, &messenger.Datagram{Load: l}); err != nil {
-			s.cfg.Metrics.Add("reports_unsent", 1)
-		}
-	}
-}
-
-// isSameLoad reports whether entries need not be informed of the change from a to b. It
-// ignores the use of the KV cache.
-func isSameLoad(a, b *messenger.LoadReport) bool {
-	return a.GetBorn() == b.GetBorn() && a.GetActive() == b.GetActive() && a.GetQueued() == b.GetQueued() &&
-		a.GetVersion() == b.GetVersion() && a.GetSwitching() == b.GetSwitching() && a.GetPace() == b.GetPace()
-}
-
 // applyPlan converts a plan and passes it to the stager.
 func (s *Server) applyPlan(p *messenger.PlanReply) {
 	now := s.cfg.Clock()
@@ -254,9 +208,7 @@
 		}
 		knownDigest = p.GetDigest()
 		entries := p.GetEntries()
-		rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
-		receivers := slices.Clone(entries[:min(len(entries), maxLoadReceivers)])
-		s.entries.Store(&receivers)
+		s.entries.Store(&entries)
 		select {
 		case <-s.plans:
 		default:
--- a/internal/gatewayserver/endpoints.go
+++ b/internal/gatewayserver/endpoints.go
@@ -89,6 +89,7 @@
 	l.offset = max(l.offset, lastOffset(e.values))
 	var actions []controller.Action
 	var present []registrar.Endpoint
+	var changes []registrar.Change
 	values := cloneMap(l.values)
 	if e.snapshot {
 		values = map[string]platform.Value{}
@@ -99,13 +100,13 @@
 		}
 		if v.Data == nil {
 			delete(values, v.Key)
-			l.endpoints = l.endpoints.WithoutEndpoint(now, v.Key)
+			changes = append(changes, registrar.Change{ID: v.Key})
 			continue
 		}
 		endpoint, err := platform.DecodeEndpoint(v.Key, v.Data)
 		if err != nil {
 			actions = append(actions, logEvent(logger.EntryUnreadable, zap.String("endpoint", v.Key), zap.Error(err)))
-			l.endpoints = l.endpoints.WithoutEndpoint(now, v.Key)
+			changes = append(changes, registrar.Change{ID: v.Key})
 			continue
 		}
 		values[v.Key] = v
@@ -113,8 +114,9 @@
 			present = append(present, endpoint)
 			continue
 		}
-		l.endpoints = l.endpoints.WithEndpoint(endpoint)
+		changes = append(changes, registrar.Change{ID: v.Key, Endpoint: &endpoint})
 	}
+	l.endpoints = l.endpoints.WithChanges(now, changes)
 	if e.snapshot {
 		l.endpoints = l.endpoints.WithSnapshot(now, present)
 	}
@@ -202,9 +204,9 @@
 // priority for its slots.
 func (s *state) setHomes(self assigner.Entry, es []balancer.Endpoint) {
 	entries := []assigner.Entry{self}
-	for address, p := range s.peers {
-		if !p.leaving {
-			entries = append(entries, assigner.Entry{Name: address, Region: p.region})
+	for _, p := range s.peers.All() {
+		if !p.Leaving {
+			entries = append(entries, assigner.Entry{Name: p.Address, Region: p.Region})
 		}
 	}
 	var ready []assigner.Endpoint
--- a/internal/gatewayserver/endpoints_test.go
+++ b/internal/gatewayserver/endpoints_test.go
@@ -10,25 +10,30 @@
 	"flamingoledge.org/flamingoledge/pkg/assigner"
 	"flamingoledge.org/flamingoledge/pkg/balancer"
 	"flamingoledge.org/flamingoledge/pkg/controller"
+	"flamingoledge.org/flamingoledge/pkg/tracker"
 	"flamingoledge.org/flamingoledge/platform"
 	"flamingoledge.org/flamingoledge/platform/standin"
 )
 
 func TestSetHomes(t *testing.T) {
 	self := assigner.Entry{Name: "self", Region: "r"}
+	peers := func(p tracker.Peer) tracker.Roster {
+		p.Address = "p"
+		return tracker.Roster{}.WithMessage(time.Unix(1000, 0), p, nil)
+	}
 	here, elsewhere, none := balancer.HomeLocal, balancer.HomeRemote, balancer.HomeNone
 	tests := map[string]struct {
-		peers map[string]peer
+		peers tracker.Roster
 		ready []bool
 		// count is the number of endpoints with each kind of home.
 		count map[balancer.Home]int
 	}{
 		"alone":                  {ready: []bool{true, true}, count: map[balancer.Home]int{here: 2}},
-		"one peer":               {peers: map[string]peer{"p": {region: "r"}}, ready: []bool{true, true}, count: map[balancer.Home]int{here: 1, elsewhere: 1}},
-		"leaving peer":           {peers: map[string]peer{"p": {region: "r", leaving: true}}, ready: []bool{true, true}, count: map[balancer.Home]int{here: 2}},
-		"peer in another region": {peers: map[string]peer{"p": {region: "q"}}, ready: []bool{true, true}, count: map[balancer.Home]int{here: 2}},
+		"one peer":               {peers: peers(tracker.Peer{Region: "r"}), ready: []bool{true, true}, count: map[balancer.Home]int{here: 1, elsewhere: 1}},
+		"leaving peer":           {peers: peers(tracker.Peer{Region: "r", Leaving: true}), ready: []bool{true, true}, count: map[balancer.Home]int{here: 2}},
+		"peer in another region": {peers: peers(tracker.Peer{Region: "q"}), ready: []bool{true, true}, count: map[balancer.Home]int{here: 2}},
 		"endpoint not ready":     {ready: []bool{true, false}, count: map[balancer.Home]int{here: 1, none: 1}},
-		"too few endpoints":      {peers: map[string]peer{"p": {region: "r"}}, ready: []bool{true}, count: map[balancer.Home]int{none: 1}},
+		"too few endpoints":      {peers: peers(tracker.Peer{Region: "r"}), ready: []bool{true}, count: map[balancer.Home]int{none: 1}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gatewayserver/peers.go
+++ b/internal/gatewayserver/peers.go
@@ -1,8 +1,6 @@
 package gatewayserver
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,6 +8,7 @@
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
 	"flamingoledge.org/flamingoledge/pkg/controller"
+	"flamingoledge.org/flamingoledge/pkg/tracker"
 )
 
 // peersController tracks the other entries. It adopts their newer confirmations of
@@ -19,8 +18,8 @@
 }
 
 const (
-	// peerTimeout is how long a peer is retained without a presence message; it
-	// covers several lost ones.
+	// peerTimeout is how long a peer is retained without a sign of life, in its own
+	// presence messages or in the reports of others; it covers several lost ones.
 	peerTimeout = 2500 * time.Millisecond
 	// echoTimeout is the round-trip time from which on the ages in the reply to a
 	// presence message are ignored.
@@ -45,13 +44,15 @@
 	if msg.GetAddress() == p.self || msg.GetAddress() == "" {
 		return s, nil
 	}
-	old, known := s.peers[msg.GetAddress()]
-	s.peers = cloneMap(s.peers)
-	s.peers[msg.GetAddress()] = peer{instance: msg.GetInstance(), region: msg.GetRegion(), lastSeen: now, leaving: msg.GetLeaving()}
+	before := s.peers
+	old, known := before.Get(msg.GetAddress())
+	s.peers = s.peers.WithMessage(now, tracker.Peer{
+		Address: msg.GetAddress(), Instance: msg.GetInstance(), Region: msg.GetRegion(), Leaving: msg.GetLeaving(),
+	}, peerReports(msg))
 	if !known {
 		actions = append(actions, logEvent(logger.PeerFound, zap.String("peer", msg.GetInstance()), zap.String("address", msg.GetAddress())))
 	}
-	if !known || old.leaving != msg.GetLeaving() {
+	if !known || old.Leaving != msg.GetLeaving() || s.peers.LeavingCount() != before.LeavingCount() {
 		actions = append(actions, endpointsChanged{})
 	}
 	s.config = s.config.withEarlierVersionAges(now, msg.GetNewest())
@@ -129,17 +130,41 @@
 func age(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 // expirePeers removes the peers that have timed out.
-func (peersController) expirePeers(now time.Time, s state) (state, []controller.Action) {
-	var actions []controller.Action
-	for _, address := range slices.Sorted(maps.Keys(s.peers)) {
-		p := s.peers[address]
-		if now.Sub(p.lastSeen) < peerTimeout {
-			continue
-		}
-		s.peers = maps.Clone(s.peers)
-		delete(s.peers, address)
-		actions = append(actions, endpointsChanged{},
-			logEvent(logger.PeerLost, zap.String("peer", p.instance), zap.String("address", address)))
+func (peersController) expirePeers(now time.Time, s state) (_ state, actions []controller.Action) {
+	var lost []tracker.Peer
+	s.peers, lost = s.peers.WithoutExpired(now, peerTimeout)
+	for _, p := range lost {
+		actions = append(actions, logEvent(logger.PeerLost, zap.String("peer", p.Instance), zap.String("address", p.Address)))
+	}
+	if len(lost) > 0 {
+		actions = append(actions, endpointsChanged{})
 	}
 	return s, actions
 }
+
+// reportedAgeStep is the unit of the ages in peer reports.
+const reportedAgeStep = 40 * time.Millisecond
+
+// addPeerReports encodes reports in a presence message. It rounds ages up, so that no peer
+// looks alive for longer than it was.
+func addPeerReports(msg *messenger.Presence, reports []tracker.Report) {
+	for _, r := range reports {
+		encoded := uint32((r.Age+reportedAgeStep-1)/reportedAgeStep) << 1
+		if r.Leaving {
+			encoded++
+		}
+		msg.ReportedPeers = append(msg.ReportedPeers, r.AddressHash)
+		msg.ReportedAges = append(msg.ReportedAges, encoded)
+	}
+}
+
+// peerReports decodes the reports of a presence message.
+func peerReports(msg *messenger.Presence) (reports []tracker.Report) {
+	ages := msg.GetReportedAges()
+	for i, hash := range msg.GetReportedPeers()[:min(len(msg.GetReportedPeers()), len(ages))] {
+		reports = append(reports, tracker.Report{
+			AddressHash: hash, Age: time.Duration(ages[i]>>1) * reportedAgeStep, Leaving: ages[i]&1 == 1,
+		})
+	}
+	return reports
+}
--- a/internal/gatewayserver/presence.go
+++ b/internal/gatewayserver/presence.go
@@ -18,10 +18,13 @@
 	// that several may be lost before peerTimeout and that a crash becomes known to
 	// the peers within a second.
 	presenceInterval = 400 * time.Millisecond
-	// maxPresenceTargets bounds the recipients of presence messages per interval, and
-	// maxPeersPerPresence the peer addresses in one message.
-	maxPresenceTargets  = 12
-	maxPeersPerPresence = 24
+	// maxPeersPerPresence bounds the peer addresses in one message.
+	maxPeersPerPresence = 4
+	// maxPeerReports bounds the peer reports in one message, which has to fit into a
+	// datagram, and maxPeerReportAge their age. Older reports keep no peer from timing
+	// out for long.
+	maxPeerReports   = 200
+	maxPeerReportAge = peerTimeout / 2
 	// reportLag is the assumed age of a sidecar's load report on arrival.
 	reportLag = 15 * time.Millisecond
 )
@@ -29,32 +32,30 @@
 // broadcastPresence sends presence messages to other entries until ctx ends.
 func (s *Server) broadcastPresence(ctx context.Context) {
 	for ctx.Err() == nil {
-		targets := s.presenceTargets()
-		rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-		for _, address := range targets[:min(len(targets), maxPresenceTargets)] {
+		for _, address := range s.presenceTargets() {
 			s.sendPresence(address, 0)
 		}
 		sleeper.Sleep(ctx, s.jitter(2*presenceInterval)*2/3)
 	}
 }
 
-// presenceTargets returns the addresses of the known peers and of the seeds,
-// without this entry's own.
+// presenceTargets returns the addresses of some peers and of the seeds that are not known
+// as peers.
 func (s *Server) presenceTargets() (targets []netip.AddrPort) {
-	known := map[netip.AddrPort]struct{}{}
-	for address := range s.board.View().peers {
-		if ap, err := netip.ParseAddrPort(address); err == nil {
-			known[ap] = struct{}{}
+	peers := s.board.View().peers
+	for _, p := range peers.Recipients(newRand()) {
+		if ap, err := netip.ParseAddrPort(p.Address); err == nil {
+			targets = append(targets, ap)
 		}
 	}
 	for _, seed := range s.cfg.Settings.Seeds {
-		if ap, err := netip.ParseAddrPort(seed); err == nil {
-			known[s.nodeAddress(ap.Addr())] = struct{}{}
+		ap, err := netip.ParseAddrPort(seed)
+		if err != nil {
+			continue
 		}
-	}
-	for ap := range known {
-		if ap.String() != s.self {
-			targets = append(targets, ap)
+		address := s.nodeAddress(ap.Addr())
+		if _, known := peers.Get(address.String()); !known && address.String() != s.self {
+			targets = append(targets, address)
 		}
 	}
 	return targets
@@ -83,14 +84,19 @@
 		Newest:        newestVersions(now, v.config),
 	}
 	if echo == 0 {
-		names := slices.Collect(maps.Keys(v.peers))
-		p.Peers = names[:min(len(names), maxPeersPerPresence)]
+		addPeerReports(p, v.peers.Reports(now, maxPeerReports, maxPeerReportAge, newRand()))
+		for _, i := range rand.Perm(v.peers.Len())[:min(v.peers.Len(), maxPeersPerPresence)] {
+			p.Peers = append(p.Peers, v.peers.All()[i].Address)
+		}
 	}
 	if err := s.socket.Send(to, &messenger.Datagram{Presence: p}); err != nil {
 		s.cfg.Metrics.Add("presence_unsent", 1)
 	}
 }
 
+// newRand returns a randomly seeded source of random numbers.
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 // newestVersions returns the newest named version of each model with its age.
 func newestVersions(now time.Time, c config) (out []*messenger.NamedVersion) {
 	for _, model := range slices.Sorted(maps.Keys(c.versions)) {
@@ -128,9 +134,9 @@
 // contactUnknownPeers sends a presence message to those addresses that do not belong
 // to known peers.
 func (s *Server) contactUnknownPeers(addresses []string) {
-	known := s.board.View().peers
+	peers := s.board.View().peers
 	for _, address := range addresses {
-		if _, ok := known[address]; ok || address == s.self {
+		if _, known := peers.Get(address); known || address == s.self {
 			continue
 		}
 		if ap, err := netip.ParseAddrPort(address); err == nil {
@@ -152,7 +158,7 @@
 	}
 	for _, e := range v.list.endpoints.ByAddress(l.GetEndpoint()) {
 		s.forward.ReportLoad(e.Service, e.ID, now.Add(-reportLag), balancer.Load{
-			Running: int(l.GetActive()), Queued: int(l.GetQueued()), Slowdown: float64(l.GetPace()),
+			Running: int(l.GetActive()), Queued: int(l.GetQueued()), Slowdown: float64(l.GetPace()), Receivers: int(l.GetReceivers()),
 		})
 	}
 }
--- a/internal/gatewayserver/relay.go
+++ b/internal/gatewayserver/relay.go
@@ -158,7 +158,10 @@
 			})
 		}
 	}
-	reply.Entries = append(slices.Sorted(maps.Keys(v.peers)), s.self)
+	reply.Entries = []string{s.self}
+	for _, p := range v.peers.All() {
+		reply.Entries = append(reply.Entries, p.Address)
+	}
 	slices.Sort(reply.Entries)
 	reply.Digest = planDigest(reply)
 	s.addWantedVersions(v, service, reply)
--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"expvar"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -95,6 +96,8 @@
 	socket      *gossiper.Socket
 	peerConns   connector.Pool
 	crashLedger *crashLedger
+	// subscriptions are the load reports that this entry requests.
+	subscriptions subscriptions
 	// changed wakes the Plan calls that wait for a change.
 	changed notifier.Notifier
 	// fetching contains the addresses of the peers whose state is being fetched.
@@ -183,6 +186,7 @@
 	wg.Go(func() { s.board.Run(background) })
 	wg.Go(func() { s.socket.Receive(background, s.handleDatagram) })
 	wg.Go(func() { s.broadcastPresence(background) })
+	wg.Go(func() { s.renewSubscriptions(background) })
 	wg.Go(func() { s.configFollower().run(background) })
 	wg.Go(func() { s.listFollower().run(background) })
 	wg.Go(func() { s.pruneConns(background) })
@@ -259,16 +263,19 @@
 	view := s.board.View()
 	byService := view.endpoints(s.cfg.Clock(), s.cfg.Settings.Regions)
 	self := assigner.Entry{Name: s.self, Region: s.cfg.Settings.Instance.Region}
+	reportIntervals := map[netip.AddrPort]time.Duration{}
 	for name, es := range byService {
 		if engineOf(view.config.table, name) != nil {
 			view.setHomes(self, es)
+			maps.Copy(reportIntervals, s.selectReported(es))
 		}
 		s.forward.SetEndpoints(name, es)
 	}
+	s.subscribe(reportIntervals)
 	for _, name := range servicesWithoutEndpoints(s.forward.Services(), byService) {
 		s.forward.SetEndpoints(name, nil)
 	}
-	s.forward.SetEntryCount(len(view.peers) + 1)
+	s.forward.SetEntryCount(view.peers.Len() + 1)
 }
 
 func (s *Server) configFollower() *follower {
--- a/internal/gatewayserver/state.go
+++ b/internal/gatewayserver/state.go
@@ -15,6 +15,7 @@
 	"flamingoledge.org/flamingoledge/internal/messenger"
 	"flamingoledge.org/flamingoledge/pkg/registrar"
 	"flamingoledge.org/flamingoledge/pkg/resolver"
+	"flamingoledge.org/flamingoledge/pkg/tracker"
 	"flamingoledge.org/flamingoledge/platform"
 )
 
@@ -22,7 +23,7 @@
 type state struct {
 	config config
 	list   list
-	peers  map[string]peer
+	peers  tracker.Roster
 	// endpointStatus is the latest status that sidecars reported, by endpoint
 	// address.
 	endpointStatus map[string]endpointStatus
@@ -56,14 +57,6 @@
 	held map[string]forwarder.Version
 }
 
-// peer contains what the last presence message of another entry reported.
-type peer struct {
-	instance string
-	region   string
-	lastSeen time.Time
-	leaving  bool
-}
-
 // endpointStatus is the state of an endpoint as its sidecar reports it.
 type endpointStatus struct {
 	// born is the start time of the endpoint in Unix milliseconds.
@@ -150,7 +143,7 @@
 		Table:       s.config.table,
 		ConfirmedAt: s.config.confirmedAt,
 		Versions:    s.config.versions,
-		EntryCount:  len(s.peers) + 1,
+		EntryCount:  s.peers.Len() + 1,
 	}
 }
 
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -42,16 +42,27 @@
 
 // Send sends a datagram. Its loss in the network is not an error.
 func (s *Socket) Send(to netip.AddrPort, d *messenger.Datagram) error {
+	_, err := s.SendAll([]netip.AddrPort{to}, d)
+	return err
+}
+
+// SendAll sends a datagram to each of several receivers. It returns the number of
+// receivers to which it could not be sent and the error of the last one.
+func (s *Socket) SendAll(to []netip.AddrPort, d *messenger.Datagram) (unsent int, err error) {
 	b, err := proto.Marshal(d)
 	if err != nil {
-		return eris.Wrap(err, "encode datagram")
+		return len(to), eris.Wrap(err, "encode datagram")
 	}
 	if len(b) > maxDatagramBytes {
 		s.Oversized.Add(1)
-		return eris.Errorf("datagram of %d bytes exceeds the maximum of %d", len(b), maxDatagramBytes)
+		return len(to), eris.Errorf("datagram of %d bytes exceeds the maximum of %d", len(b), maxDatagramBytes)
 	}
-	_, err = s.conn.WriteToUDPAddrPort(b, to)
-	return err
+	for _, address := range to {
+		if _, sendErr := s.conn.WriteToUDPAddrPort(b, address); sendErr != nil {
+			unsent, err = unsent+1, sendErr
+		}
+	}
+	return unsent, err
 }
 
 // Receive calls handle for each received datagram until ctx ends, then closes the
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -55,6 +55,18 @@
 		"one lost connection does not pause": {endpoints: endpoints(1, 4), before: fail(balancer.ResultConnectionLost, 1), want: balancer.OutcomeStarted, endpoint: "a"},
 		"two lost connections pause":         {endpoints: endpoints(2, 4), before: fail(balancer.ResultConnectionLost, 2), want: balancer.OutcomeStarted, endpoint: "b"},
 		"refusing endpoint is skipped":       {endpoints: endpoints(2, 4), before: fail(balancer.ResultRefused, 1), want: balancer.OutcomeStarted, endpoint: "b"},
+		"reported endpoint is preferred": {
+			endpoints: []balancer.Endpoint{{ID: "a", Region: "r", Slots: 100, Ready: true, Unreported: true}, {ID: "b", Region: "q", Slots: 1, Ready: true}},
+			want:      balancer.OutcomeStarted, endpoint: "b",
+		},
+		"unreported endpoint does not replace a full one": {
+			endpoints: []balancer.Endpoint{{ID: "a", Slots: 100, Ready: true, Unreported: true}, {ID: "b", Slots: 1, Ready: true}},
+			before:    fill(1), want: balancer.OutcomeQueued,
+		},
+		"unreported endpoint if no other can run the request": {
+			endpoints: []balancer.Endpoint{{ID: "a", Slots: 100, Ready: true, Unreported: true, Version: 2}, {ID: "b", Slots: 1, Ready: true, Version: 1}},
+			change:    func(r *balancer.Request) { r.MinVersion = 2 }, want: balancer.OutcomeStarted, endpoint: "a",
+		},
 		"local region is preferred": {
 			endpoints: []balancer.Endpoint{{ID: "a", Region: "q", Slots: 100, Ready: true}, {ID: "b", Region: "r", Slots: 100, Ready: true}},
 			want:      balancer.OutcomeStarted, endpoint: "b",
--- a/pkg/balancer/member.go
+++ b/pkg/balancer/member.go
@@ -104,6 +104,9 @@
 	localLimit int
 	reportedAt time.Time
 	slowdown   float64
+	// receivers is the number of processes that the load was last reported to; 0 if
+	// unknown.
+	receivers int
 
 	// failures, losses and pauses are counted since the last answer. A failure also
 	// resets losses, and a pause resets failures and losses.
@@ -139,6 +142,9 @@
 	if l.Slowdown > 0 {
 		m.slowdown = l.Slowdown
 	}
+	if l.Receivers > 0 {
+		m.receivers = l.Receivers
+	}
 	startedSince := 0
 	for _, t := range m.recentStarts {
 		if t.After(measuredAt) {
@@ -154,7 +160,16 @@
 		m.newStartsAt = measuredAt
 	}
 	m.otherRequests = otherRequests
-	m.updateLimit(senders, random)
+	m.updateLimit(m.senders(senders), random)
+}
+
+// senders returns the number of processes that send to the endpoint, of which there are
+// all in total.
+func (m *member) senders(all int) int {
+	if m.receivers > 0 {
+		return m.receivers
+	}
+	return max(all, 1)
 }
 
 // updateLimit sets how many requests this process may have at the endpoint until the
@@ -196,7 +211,7 @@
 	if now.Sub(m.reportedAt) < maxReportAge {
 		return m.localRequests < m.localLimit
 	}
-	return float64(m.localRequests) < max(m.capacity()/float64(max(senders, 1)), 1)
+	return float64(m.localRequests) < max(m.capacity()/float64(m.senders(senders)), 1)
 }
 
 // prefillBacklog returns the time that the engine needs for the prompts that are not
@@ -235,7 +250,7 @@
 		return float64(m.localRequests + m.otherRequests)
 	}
 	// Without a current report, assume that every process sends as much as this one.
-	return float64(m.localRequests * max(senders, 1))
+	return float64(m.localRequests * m.senders(senders))
 }
 
 // capacity returns how many requests the endpoint can run concurrently at full speed.
--- a/pkg/balancer/pick.go
+++ b/pkg/balancer/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 )
 
@@ -33,6 +34,12 @@
 	return earliest
 }
 
+// canRunReported reports whether any endpoint whose load is reported can run the
+// request, now or later.
+func (b *Balancer) canRunReported(r Request) bool {
+	return slices.ContainsFunc(b.memberList, func(m *member) bool { return !m.Unreported && m.canRun(r) })
+}
+
 // canPrefillInTime reports whether an engine can prefill the prompt in time and
 // without delaying the running requests too long.
 func (b *Balancer) canPrefillInTime(now time.Time, m *member, r Request, prefillBacklog time.Duration) bool {
@@ -46,7 +53,7 @@
 	for _, p := range m.pending {
 		localBacklog += p.prefillTime
 	}
-	return localBacklog == 0 || m.Home == HomeLocal || localBacklog+r.PrefillTime <= time.Duration(localBacklogFactor*float64(maxBacklog)/float64(max(b.cfg.Senders, 1)))
+	return localBacklog == 0 || m.Home == HomeLocal || localBacklog+r.PrefillTime <= time.Duration(localBacklogFactor*float64(maxBacklog)/float64(m.senders(b.cfg.Senders)))
 }
 
 // pick returns the endpoint for a request, or nil if none has a free slot.
@@ -64,12 +71,14 @@
 	return !r.Repeat || !r.Late || m.load(now, b.cfg.Senders) < (1-lateReservedShare)*m.capacity()
 }
 
-// pickLeastLoaded returns the eligible endpoint with the lowest cost.
+// pickLeastLoaded returns the eligible endpoint with the lowest cost. An endpoint whose
+// load is not reported is eligible only if no other one can run the request.
 func (b *Balancer) pickLeastLoaded(now time.Time, r Request) (best *member) {
 	bestCost := 0.0
 	random := r.Random
+	usesUnreported := !b.canRunReported(r)
 	for _, m := range b.memberList {
-		if !m.canRun(r) || now.Before(m.pausedUntil) || (m.isOnProbation() && m.localRequests > 0) || m.isStuck(now) {
+		if m.Unreported && !usesUnreported || !m.canRun(r) || now.Before(m.pausedUntil) || (m.isOnProbation() && m.localRequests > 0) || m.isStuck(now) {
 			continue
 		}
 		if !m.canAccept(now, b.cfg.Senders) || !b.leavesSlots(now, m, r) {
--- a/pkg/balancer/replay_test.go
+++ b/pkg/balancer/replay_test.go
@@ -39,6 +39,11 @@
 	slots int
 	// withHomes gives each engine a home at one of the entries.
 	withHomes bool
+	// reported is the number of engines that are reported to an entry besides those
+	// with their home there, and reportInterval the time between their reports. If
+	// reported is 0, all engines are reported to all entries at each reportLag.
+	reported       int
+	reportInterval time.Duration
 	// firstEntryShare is the share of requests sent directly to the first entry; the
 	// rest is spread evenly over all entries.
 	firstEntryShare float64
@@ -175,6 +180,7 @@
 		for i := range r.engines {
 			es = append(es, balancer.Endpoint{
 				ID: fmt.Sprint(i), Address: fmt.Sprint(i), Region: "r", Slots: r.profile.Slots, Ready: r.isReady(i), Version: 1, Home: r.home(i, k),
+				Unreported: !r.isReported(i, k),
 			})
 		}
 		r.sendStarted(k, b.SetEndpoints(r.time(), es))
@@ -192,6 +198,27 @@
 	}
 }
 
+// isReported reports whether an engine's load is reported to an entry: if the engine has
+// its home there, or if it is one of the next ones after the entry's own number.
+func (r *replay) isReported(engine, entry int) bool {
+	if r.workload.reported == 0 || r.home(engine, entry) == balancer.HomeLocal {
+		return true
+	}
+	n := len(r.engines)
+	distance := (engine - entry*n/r.workload.entries + n) % n
+	return distance < r.workload.reported
+}
+
+// receivers returns the number of entries that an engine's load is reported to.
+func (r *replay) receivers(engine int) (n int) {
+	for entry := range r.entries {
+		if r.isReported(engine, entry) {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *replay) arrive() {
 	rate := r.workload.perSecond
 	if r.now >= r.workload.burstFrom && r.now < r.workload.burstUntil {
@@ -335,11 +362,15 @@
 	at := r.time()
 	loads := make([]balancer.Load, len(r.engines))
 	for i, e := range r.engines {
-		loads[i] = balancer.Load{Running: e.Active(), Queued: e.Queued()}
+		loads[i] = balancer.Load{Running: e.Active(), Queued: e.Queued(), Receivers: r.receivers(i)}
 	}
+	round := int(r.now / reportLag)
 	r.at(r.now+reportLag/2, func() {
 		for k, b := range r.entries {
 			for i, l := range loads {
+				if !r.isReportDue(i, k, round) {
+					continue
+				}
 				r.sendStarted(k, b.UpdateLoad(r.time(), at, fmt.Sprint(i), l, r.rng.Uint64()))
 			}
 		}
@@ -349,6 +380,44 @@
 	}
 }
 
+// isReportDue reports whether an engine's load is reported to an entry in a round of
+// reports.
+func (r *replay) isReportDue(engine, entry, round int) bool {
+	if r.workload.reported == 0 || r.home(engine, entry) == balancer.HomeLocal {
+		return true
+	}
+	return r.isReported(engine, entry) && (round+engine+entry)%int(r.workload.reportInterval/reportLag) == 0
+}
+
+// TestBoundedReportsReplayed compares entries to which a bounded number of engines is
+// reported, most of them at a lower rate, with entries to which every load is reported. It
+// is the load that grows with entries times endpoints: 35 and 156 of them at half load, near
+// and above capacity, and with a fifth of the callers at one entry.
+func TestBoundedReportsReplayed(t *testing.T) {
+	tests := map[string]workload{
+		"half load":               {perSecond: 450, length: 4 * time.Second},
+		"almost full":             {perSecond: 800, length: 4 * time.Second},
+		"above capacity":          {perSecond: 1200, length: 4 * time.Second},
+		"a fifth of it at one":    {perSecond: 600, firstEntryShare: 0.2, length: 4 * time.Second},
+		"burst of twice the load": {perSecond: 450, burstFactor: 2, burstFrom: time.Second, burstUntil: 3 * time.Second, length: 5 * time.Second},
+	}
+	for name, w := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w.engines, w.entries, w.slots, w.withHomes = 156, 35, 8, true
+			all := replayRepeatedly(w, 0, 1)
+			w.reported, w.reportInterval = 64, 200*time.Millisecond
+			bounded := replayRepeatedly(w, 0, 1)
+			t.Logf("bounded reports: %v, score %.3f; all reports: %v, score %.3f", bounded, bounded.score(), all, all.score())
+			is.True(bounded.score() >= minShareOfAllReports*all.score())
+		})
+	}
+}
+
+// minShareOfAllReports is the fraction of the score with all reports that entries with
+// bounded reports must reach.
+const minShareOfAllReports = 0.97
+
 // TestLoadsReplayed compares the balancer with the baseline at half load, above
 // capacity, during a burst and when empty engines become ready.
 func TestLoadsReplayed(t *testing.T) {
--- a/pkg/balancer/request.go
+++ b/pkg/balancer/request.go
@@ -27,6 +27,9 @@
 	Ready bool
 	// Version is the loaded version; 0 if the service has no versions.
 	Version uint64
+	// Unreported is set if the endpoint's load is not reported to this process. It gets
+	// requests only if no other endpoint can run them.
+	Unreported bool
 }
 
 // Load is the load reported by an endpoint or by the instance next to it.
@@ -36,6 +39,9 @@
 	// Slowdown is 1 at normal speed and higher for a slow endpoint; 0 if not
 	// reported.
 	Slowdown float64
+	// Receivers is the number of processes that the load was reported to, which share
+	// the free slots; 0 if not reported.
+	Receivers int
 }
 
 // Request describes a request that needs an endpoint.
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -94,35 +94,45 @@
 	return l
 }
 
-// WithEndpoint returns the list with an endpoint added or replaced. An older start
-// of an endpoint never replaces a newer one.
-func (l List) WithEndpoint(e Endpoint) List {
-	if old, ok := l.endpoints[e.ID]; ok && e.Born != 0 && old.Born > e.Born {
+// Change is a change of one entry: a registration, or the removal of the entry.
+type Change struct {
+	ID string
+	// Endpoint is the registration; nil if the store dropped the entry.
+	Endpoint *Endpoint
+}
+
+// WithChanges returns the list after several changes, in order. It copies the list once
+// however many changes there are.
+func (l List) WithChanges(now time.Time, changes []Change) List {
+	if len(changes) == 0 {
 		return l
 	}
-	l.endpoints = cloneOrMake(l.endpoints)
-	l.endpoints[e.ID] = e
-	if _, ok := l.retainedUntil[e.ID]; ok {
-		l.retainedUntil = maps.Clone(l.retainedUntil)
-		delete(l.retainedUntil, e.ID)
+	l = l.clone()
+	for _, c := range changes {
+		if c.Endpoint != nil {
+			l.set(*c.Endpoint)
+			continue
+		}
+		l.drop(now, c.ID)
 	}
 	return l
 }
 
+// WithEndpoint returns the list with an endpoint added or replaced. An older start
+// of an endpoint never replaces a newer one.
+func (l List) WithEndpoint(e Endpoint) List {
+	l = l.clone()
+	l.set(e)
+	return l
+}
+
 // WithoutEndpoint returns the list after the store dropped an entry. An entry that
 // is dropped during an outage of the store is retained for graceAfterOutage, unless
 // the endpoint was draining. Otherwise it is removed at once.
 func (l List) WithoutEndpoint(now time.Time, id string) List {
-	old, ok := l.endpoints[id]
-	if !ok {
-		return l
-	}
-	if !old.Draining && l.storeUnavailable {
-		l.retainedUntil = cloneOrMake(l.retainedUntil)
-		l.retainedUntil[id] = now.Add(graceAfterOutage)
-		return l
-	}
-	return l.without(id)
+	l = l.clone()
+	l.drop(now, id)
+	return l
 }
 
 // WithoutExpired returns the list without the dropped entries that are no longer
@@ -131,38 +141,70 @@
 	if l.storeUnavailable {
 		return l
 	}
+	var expired []string
 	for id, until := range l.retainedUntil {
 		if !now.Before(until) {
-			l = l.without(id)
+			expired = append(expired, id)
 		}
 	}
+	if len(expired) == 0 {
+		return l
+	}
+	l = l.clone()
+	for _, id := range expired {
+		l.remove(id)
+	}
 	return l
 }
 
 // WithSnapshot returns the list after a complete read of the store. Endpoints that
 // are not in entries have been dropped.
 func (l List) WithSnapshot(now time.Time, entries []Endpoint) List {
+	l = l.clone()
 	present := make(map[string]struct{}, len(entries))
 	for _, e := range entries {
 		present[e.ID] = struct{}{}
-		l = l.WithEndpoint(e)
+		l.set(e)
 	}
 	for id := range l.endpoints {
-		if _, ok := present[id]; !ok {
-			if _, retained := l.retainedUntil[id]; !retained {
-				l = l.WithoutEndpoint(now, id)
-			}
+		if _, ok := present[id]; ok {
+			continue
+		}
+		if _, retained := l.retainedUntil[id]; !retained {
+			l.drop(now, id)
 		}
 	}
 	return l
 }
 
-func (l List) without(id string) List {
-	l.endpoints = cloneOrMake(l.endpoints)
+// clone returns a copy of the list that set, drop and remove may modify.
+func (l List) clone() List {
+	l.endpoints, l.retainedUntil = cloneOrMake(l.endpoints), cloneOrMake(l.retainedUntil)
+	return l
+}
+
+func (l List) set(e Endpoint) {
+	if old, ok := l.endpoints[e.ID]; ok && e.Born != 0 && old.Born > e.Born {
+		return
+	}
+	l.endpoints[e.ID] = e
+	delete(l.retainedUntil, e.ID)
+}
+
+func (l List) drop(now time.Time, id string) {
+	old, ok := l.endpoints[id]
+	switch {
+	case !ok:
+	case !old.Draining && l.storeUnavailable:
+		l.retainedUntil[id] = now.Add(graceAfterOutage)
+	default:
+		l.remove(id)
+	}
+}
+
+func (l List) remove(id string) {
 	delete(l.endpoints, id)
-	l.retainedUntil = cloneOrMake(l.retainedUntil)
 	delete(l.retainedUntil, id)
-	return l
 }
 
 func cloneOrMake[K comparable, V any](m map[K]V) map[K]V {
