--- a/internal/gatewayserver/configuration.go
+++ b/internal/gatewayserver/configuration.go
@@ -42,7 +42,9 @@
 		actions = append(actions, a...)
 	}
 	s.config.digest = configDigest(s.config.version(), s.config.versions)
-	if s.config.table != nil && e.startedAt.After(s.config.confirmedAt) {
+	// A peer confirms by the same rule, so its confirmation holds as it is.
+	isConfirmed := e.source != sourceStore || s.store.isSettled(e.startedAt)
+	if s.config.table != nil && isConfirmed && e.startedAt.After(s.config.confirmedAt) {
 		s.config.confirmedAt = e.startedAt
 	}
 	if s.config.digest != before {
--- a/internal/gatewayserver/endpoints.go
+++ b/internal/gatewayserver/endpoints.go
@@ -12,6 +12,7 @@
 	"flamingoledge.org/flamingoledge/pkg/assigner"
 	"flamingoledge.org/flamingoledge/pkg/balancer"
 	"flamingoledge.org/flamingoledge/pkg/controller"
+	"flamingoledge.org/flamingoledge/pkg/provider"
 	"flamingoledge.org/flamingoledge/pkg/registrar"
 	"flamingoledge.org/flamingoledge/platform"
 )
@@ -82,11 +83,12 @@
 // withRead returns the list updated with values read from the store or from a
 // peer.
 func (l list) withRead(now time.Time, e listRead) (list, []controller.Action) {
-	if e.source != sourceStore && l.known && lastOffset(e.values) <= l.offset {
+	if e.source != sourceStore && l.known && lastPosition(e).Compare(l.position) <= 0 {
 		// The peer's list may lack records that were read here and are not read again.
 		return l, nil
 	}
-	l.offset = max(l.offset, lastOffset(e.values))
+	restored := e.snapshot && l.known && lastPosition(e).Epoch > l.position.Epoch
+	l.position = latest(l.position, lastPosition(e))
 	var actions []controller.Action
 	var present []registrar.Endpoint
 	var changes []registrar.Change
@@ -95,7 +97,7 @@
 		values = map[string]platform.Value{}
 	}
 	for _, v := range e.values {
-		if known, ok := l.values[v.Key]; ok && known.Offset > v.Offset {
+		if known, ok := l.values[v.Key]; ok && known.Position.Compare(v.Position) > 0 {
 			v = known
 		}
 		if v.Data == nil {
@@ -109,6 +111,14 @@
 			changes = append(changes, registrar.Change{ID: v.Key})
 			continue
 		}
+		if restored && l.endpoints.IsOutdated(endpoint) {
+			// The store was restored from a copy that was made before the known record.
+			if known, ok := l.values[v.Key]; ok {
+				values[v.Key] = known
+			}
+			present = append(present, endpoint)
+			continue
+		}
 		values[v.Key] = v
 		if e.snapshot {
 			present = append(present, endpoint)
@@ -117,7 +127,10 @@
 		changes = append(changes, registrar.Change{ID: v.Key, Endpoint: &endpoint})
 	}
 	l.endpoints = l.endpoints.WithChanges(now, changes)
-	if e.snapshot {
+	switch {
+	case restored:
+		l.endpoints = l.endpoints.WithRestoredSnapshot(now, present)
+	case e.snapshot:
 		l.endpoints = l.endpoints.WithSnapshot(now, present)
 	}
 	l.values, l.known = values, true
@@ -127,15 +140,24 @@
 	return l, actions
 }
 
-// lastOffset returns the offset of the latest of several values; -1 without values.
-func lastOffset(values []platform.Value) int64 {
-	last := int64(-1)
-	for _, v := range values {
-		last = max(last, v.Offset)
+// lastPosition returns the position of the latest value that was read. Without values,
+// it is before all of the read's epoch.
+func lastPosition(e listRead) provider.Position {
+	last := provider.Position{Epoch: e.epoch, Offset: -1}
+	for _, v := range e.values {
+		last = latest(last, v.Position)
 	}
 	return last
 }
 
+// latest returns the later of two positions.
+func latest(p, q provider.Position) provider.Position {
+	if p.Compare(q) >= 0 {
+		return p
+	}
+	return q
+}
+
 // withHeldVersions records the newest version of each model that endpoints have
 // loaded. It is the wanted version of a model for which operators have named none.
 func (l list) withHeldVersions(now time.Time) list {
--- a/internal/gatewayserver/endpoints_test.go
+++ b/internal/gatewayserver/endpoints_test.go
@@ -10,6 +10,7 @@
 	"flamingoledge.org/flamingoledge/pkg/assigner"
 	"flamingoledge.org/flamingoledge/pkg/balancer"
 	"flamingoledge.org/flamingoledge/pkg/controller"
+	"flamingoledge.org/flamingoledge/pkg/provider"
 	"flamingoledge.org/flamingoledge/pkg/tracker"
 	"flamingoledge.org/flamingoledge/platform"
 	"flamingoledge.org/flamingoledge/platform/standin"
@@ -140,7 +141,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return platform.Value{Key: id, Data: data, Offset: offset}
+		return platform.Value{Key: id, Data: data, Position: provider.Position{Offset: offset}}
 	}
 	known := []platform.Value{record("a", ready, 1), record("b", ready, 2)}
 	tests := map[string]struct {
@@ -154,7 +155,7 @@
 			read: []platform.Value{record("a", draining, 3)}, peer: known, ready: []string{"b"},
 		},
 		"removal is kept": {
-			read: []platform.Value{{Key: "a", Offset: 3}}, peer: known, ready: []string{"b"},
+			read: []platform.Value{{Key: "a", Position: provider.Position{Offset: 3}}}, peer: known, ready: []string{"b"},
 		},
 		"new endpoint is kept": {
 			read: []platform.Value{record("c", ready, 3)}, peer: known, ready: []string{"a", "b", "c"},
--- a/internal/gatewayserver/follower.go
+++ b/internal/gatewayserver/follower.go
@@ -9,6 +9,7 @@
 
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/sleeper"
+	"flamingoledge.org/flamingoledge/pkg/provider"
 	"flamingoledge.org/flamingoledge/platform"
 )
 
@@ -37,17 +38,30 @@
 	store    *platform.Store
 	maxWait  time.Duration
 	interval time.Duration
-	// apply sends the values that were read to the blackboard.
-	apply func(values []platform.Value, snapshot bool, startedAt time.Time) error
+	// apply sends what was read to the blackboard.
+	apply func(r storeRead) error
 	// onLost is called on the first failure, onRegained after the first successful
 	// read that follows and has been applied.
 	onLost     func(ctx context.Context)
 	onRegained func(ctx context.Context)
 
-	nextOffset  int64
+	next        provider.Position
 	hasSnapshot bool
 	isLost      bool
-	retryPause  time.Duration
+	// isEpochUnknown is set while answers do not tell the store's epoch.
+	isEpochUnknown bool
+	retryPause     time.Duration
+}
+
+// storeRead is the result of a read.
+type storeRead struct {
+	values []platform.Value
+	// snapshot is set if values has the latest value of each key.
+	snapshot bool
+	// epoch is the store's epoch; 0 if unknown.
+	epoch uint64
+	// startedAt is when the read started; the values are at least as recent.
+	startedAt time.Time
 }
 
 // run follows the topic until ctx ends.
@@ -69,27 +83,52 @@
 	}
 }
 
-// read reads once. The first read, and the one after unread records were deleted,
-// fetches the latest value of each key.
+// read reads once. The first read, and the one after unread records were deleted or the
+// store was restored, fetches the latest value of each key.
 func (f *follower) read(startedAt time.Time) (err error) {
-	var values []platform.Value
-	snapshot := !f.hasSnapshot
-	if snapshot {
-		values, f.nextOffset, err = f.store.ReadLatest(storeTimeout)
-	} else {
-		values, f.nextOffset, err = f.store.Read(f.nextOffset, f.maxWait, storeTimeout)
+	if !f.hasSnapshot {
+		return f.readSnapshot(startedAt)
 	}
+	values, next, err := f.store.Read(f.next, f.maxWait, storeTimeout)
+	f.checkEpoch()
 	var trimmed *platform.TrimmedError
-	if errors.As(err, &trimmed) {
+	var restored *platform.RestoredError
+	switch {
+	case errors.As(err, &trimmed):
 		logger.Log(f.server.cfg.Logger, logger.StoreTrimmed, zap.String("topic", f.store.Topic()), zap.Error(err))
 		f.hasSnapshot = false
 		return nil
+	case errors.As(err, &restored):
+		return f.readSnapshot(f.server.cfg.Clock())
+	case err != nil:
+		return err
 	}
+	f.next = next
+	return f.apply(storeRead{values: values, epoch: next.Epoch, startedAt: startedAt})
+}
+
+// readSnapshot reads the latest value of each key.
+func (f *follower) readSnapshot(startedAt time.Time) error {
+	values, next, err := f.store.ReadLatest(storeTimeout)
+	f.checkEpoch()
 	if err != nil {
 		return err
 	}
-	f.hasSnapshot = true
-	return f.apply(values, snapshot, startedAt)
+	if f.next.Epoch != 0 && next.Epoch > f.next.Epoch {
+		logger.Log(f.server.cfg.Logger, logger.StoreRestored, zap.String("topic", f.store.Topic()),
+			zap.Uint64("before", f.next.Epoch), zap.Uint64("after", next.Epoch), zap.Int64("end", next.Offset))
+	}
+	f.next, f.hasSnapshot = next, true
+	return f.apply(storeRead{values: values, snapshot: true, epoch: next.Epoch, startedAt: startedAt})
+}
+
+// checkEpoch logs the first of consecutive answers that do not tell the store's epoch.
+func (f *follower) checkEpoch() {
+	problem := f.store.EpochProblem()
+	if problem != "" && !f.isEpochUnknown {
+		logger.Log(f.server.cfg.Logger, logger.StoreEpochUnknown, zap.String("topic", f.store.Topic()), zap.String("problem", problem))
+	}
+	f.isEpochUnknown = problem != ""
 }
 
 // handleFailure logs the first of consecutive failures and pauses with backoff.
--- a/internal/gatewayserver/naming_records.go
+++ b/internal/gatewayserver/naming_records.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,6 +17,13 @@
 	// Few are enough because the other entries store the same one.
 	namingAttempts   = 3
 	namingRetryPause = 300 * time.Millisecond
+	// namingRewriteDelay is the longest delay before naming times are stored again after
+	// the store was restored. The delays of the entries differ, so that those that
+	// come later find the times stored.
+	namingRewriteDelay = 1500 * time.Millisecond
+	// namingTolerance is how much later than the known time a stored naming time may be
+	// without being replaced, as the clocks of instances differ.
+	namingTolerance = 100 * time.Millisecond
 )
 
 // loadVersionAges reads from the store when versions were named. If the read fails,
@@ -62,6 +71,18 @@
 	logger.Log(s.cfg.Logger, logger.NamingUnkept, zap.String("model", model), zap.Uint64("version", version), zap.Error(err))
 }
 
+// rewriteNamings stores the known naming times after a delay, except those that are
+// stored.
+func (s *Server) rewriteNamings(delay time.Duration) {
+	time.Sleep(delay)
+	now, versions := s.cfg.Clock(), s.board.View().config.versions
+	for _, model := range slices.Sorted(maps.Keys(versions)) {
+		for _, v := range versions[model] {
+			s.recordNaming(model, v.Version, time.Now().Add(-now.Sub(v.KnownSince)))
+		}
+	}
+}
+
 // tryRecordNaming makes one attempt of recordNaming.
 func (s *Server) tryRecordNaming(store *platform.Store, n platform.NamingRecord) error {
 	stored, err := s.readVersionAges(store)
@@ -69,7 +90,7 @@
 		return err
 	}
 	for _, v := range stored {
-		if v.model == n.Model && v.version == n.Version {
+		if v.model == n.Model && v.version == n.Version && v.age+namingTolerance >= n.Age(time.Now()) {
 			return s.board.Send(context.Background(), configRead{versionAges: []versionAge{v}})
 		}
 	}
--- a/internal/gatewayserver/presence.go
+++ b/internal/gatewayserver/presence.go
@@ -82,6 +82,9 @@
 		Leaving:       s.leaving.Load(),
 		Crashes:       s.crashLedger.recent(),
 		Newest:        newestVersions(now, v.config),
+		StoreEpoch:    v.store.number,
+		// The age of the original epoch is unlimited.
+		StoreEpochAgeMs: ageMillis(now, v.store.since),
 	}
 	if echo == 0 {
 		addPeerReports(p, v.peers.Reports(now, maxPeerReports, maxPeerReportAge, newRand()))
--- a/internal/gatewayserver/relay.go
+++ b/internal/gatewayserver/relay.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/pkg/provider"
 	"flamingoledge.org/flamingoledge/pkg/resolver"
 	"flamingoledge.org/flamingoledge/platform"
 )
@@ -52,7 +53,7 @@
 // toStoredValues encodes values for a peer, sorted by key.
 func toStoredValues(values map[string]platform.Value) (out []*messenger.StoredValue) {
 	for _, v := range sortedValues(values) {
-		out = append(out, &messenger.StoredValue{Key: v.Key, Value: v.Data, Offset: v.Offset})
+		out = append(out, &messenger.StoredValue{Key: v.Key, Value: v.Data, Offset: v.Position.Offset, Epoch: v.Position.Epoch})
 	}
 	return out
 }
@@ -60,7 +61,9 @@
 // fromStoredValues decodes the values that a peer sent.
 func fromStoredValues(stored []*messenger.StoredValue) (out []platform.Value) {
 	for _, v := range stored {
-		out = append(out, platform.Value{Key: v.GetKey(), Data: v.GetValue(), Offset: v.GetOffset()})
+		out = append(out, platform.Value{
+			Key: v.GetKey(), Data: v.GetValue(), Position: provider.Position{Epoch: v.GetEpoch(), Offset: v.GetOffset()},
+		})
 	}
 	return out
 }
--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -116,7 +116,7 @@
 	}
 	s.board = controller.New(controller.Config[state]{
 		Controllers: []controller.Controller[state]{
-			configurationController{}, endpointsController{}, peersController{self: s.self},
+			storeController{}, configurationController{}, endpointsController{}, peersController{self: s.self},
 		},
 		QueueLength:  controlQueueLength,
 		TickInterval: tickInterval,
@@ -253,6 +253,8 @@
 		s.changed.Notify()
 	case versionFirstSeen:
 		go s.recordNaming(a.model, a.version, time.Now())
+	case namingsLost:
+		go s.rewriteNamings(s.jitter(namingRewriteDelay))
 	case peerStateNeeded:
 		s.startStateFetch(a.address)
 	}
@@ -281,9 +283,9 @@
 func (s *Server) configFollower() *follower {
 	return &follower{
 		server: s, store: platform.NewConfigurationStore(s.cfg.Settings.Store), maxWait: configReadWait,
-		apply: func(values []platform.Value, snapshot bool, startedAt time.Time) error {
-			e := configRead{values: values, startedAt: startedAt, source: sourceStore}
-			if snapshot {
+		apply: func(r storeRead) error {
+			e := configRead{values: r.values, startedAt: r.startedAt, epoch: r.epoch, source: sourceStore}
+			if r.snapshot {
 				e.versionAges = s.loadVersionAges()
 			}
 			return s.board.Send(context.Background(), e)
@@ -296,8 +298,8 @@
 func (s *Server) listFollower() *follower {
 	return &follower{
 		server: s, store: platform.NewEndpointStore(s.cfg.Settings.Store), interval: listInterval,
-		apply: func(values []platform.Value, snapshot bool, startedAt time.Time) error {
-			return s.board.Send(context.Background(), listRead{values: values, snapshot: snapshot, startedAt: startedAt, source: sourceStore})
+		apply: func(r storeRead) error {
+			return s.board.Send(context.Background(), listRead{values: r.values, snapshot: r.snapshot, startedAt: r.startedAt, epoch: r.epoch, source: sourceStore})
 		},
 		onLost:     func(ctx context.Context) { _ = s.board.Send(ctx, storeLost{}) },
 		onRegained: func(ctx context.Context) { _ = s.board.Send(ctx, storeRegained{}) },
--- a/internal/gatewayserver/state.go
+++ b/internal/gatewayserver/state.go
@@ -13,6 +13,7 @@
 	"flamingoledge.org/flamingoledge/internal/forwarder"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/pkg/provider"
 	"flamingoledge.org/flamingoledge/pkg/registrar"
 	"flamingoledge.org/flamingoledge/pkg/resolver"
 	"flamingoledge.org/flamingoledge/pkg/tracker"
@@ -21,6 +22,7 @@
 
 // state is the content of the blackboard. It is immutable.
 type state struct {
+	store  storeEpoch
 	config config
 	list   list
 	peers  tracker.Roster
@@ -46,8 +48,9 @@
 type list struct {
 	endpoints registrar.List
 	values    map[string]platform.Value
-	// offset is that of the latest record that was applied.
-	offset int64
+	// position is that of the latest record that was applied, with the epoch of the
+	// latest read.
+	position provider.Position
 	// known is set once the list has been read.
 	known       bool
 	digest      uint64
@@ -80,7 +83,9 @@
 		values []platform.Value
 		// startedAt is when the read started; the values are at least as recent.
 		startedAt time.Time
-		source    string
+		// epoch is the store's epoch if it was read from there; 0 if unknown.
+		epoch  uint64
+		source string
 		// versionAges are the recorded times since versions were named. They may be
 		// incomplete.
 		versionAges []versionAge
@@ -91,7 +96,9 @@
 		// snapshot is set if values is the complete list.
 		snapshot  bool
 		startedAt time.Time
-		source    string
+		// epoch is the store's epoch at the read; 0 if unknown.
+		epoch  uint64
+		source string
 	}
 	// storeLost and storeRegained are sent when reads of the list start to fail and
 	// when they succeed again.
@@ -130,6 +137,9 @@
 		model   string
 		version uint64
 	}
+	// namingsLost requests that the known naming times be stored again, because the
+	// store may have lost them.
+	namingsLost struct{}
 	// peerStateNeeded requests the configuration and the list of a peer.
 	peerStateNeeded struct{ address string }
 )
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -68,6 +68,10 @@
 		"The platform's store does not respond to this process. The last state read stays in force; `proof_age` is its age.")
 	StoreRegained = register(2102, "store_regained", zapcore.InfoLevel,
 		"The platform's store responds to this process again.")
+	StoreRestored = register(2118, "store_restored", zapcore.WarnLevel,
+		"The platform's store was restored from an older copy of itself: it has lost what was written since. `before` and `after` are its epochs. The newest value of each key is read again; what is known to be newer or removed is kept. Until the lost values have had time to be written again, a read does not confirm the configuration.")
+	StoreEpochUnknown = register(2119, "store_epoch_unknown", zapcore.WarnLevel,
+		"An answer of the platform's store does not tell the store's epoch, or not legibly. The epoch counts as unchanged, so a restored store may go unnoticed.")
 	StoreTrimmed = register(2103, "store_trimmed", zapcore.InfoLevel,
 		"Records were deleted before they were read. The newest record of each key is read instead.")
 	ConfigurationInForce = register(2104, "configuration_in_force", zapcore.InfoLevel,
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -19,6 +19,8 @@
 	Draining         bool
 	// Born is the start time in Unix milliseconds; 0 if unknown.
 	Born int64
+	// Sequence orders the registrations of one start.
+	Sequence int64
 	// LoadedModels are the models in the endpoint's memory.
 	LoadedModels []LoadedModel
 }
@@ -34,17 +36,29 @@
 // 2 s.
 const graceAfterOutage = 2100 * time.Millisecond
 
+// removalMemory is how long the last registration of a removed endpoint is known. A store
+// is restored from a copy that is some seconds old.
+const removalMemory = 60 * time.Second
+
 // List is the list of known endpoints. It is immutable; the zero value is empty.
 type List struct {
 	endpoints map[string]Endpoint
 	// retainedUntil is the time until which each entry that the store dropped during an
 	// outage is retained, by ID.
 	retainedUntil map[string]time.Time
+	// removed holds the last registrations of removed endpoints, by ID.
+	removed map[string]removal
 	// storeUnavailable is true while the store does not respond, or while its first
 	// response after an outage is being read.
 	storeUnavailable bool
 }
 
+// removal is the last registration of an endpoint that was removed at a time.
+type removal struct {
+	endpoint Endpoint
+	at       time.Time
+}
+
 // All returns the endpoints sorted by ID.
 func (l List) All() []Endpoint {
 	es := make([]Endpoint, 0, len(l.endpoints))
@@ -152,7 +166,7 @@
 	}
 	l = l.clone()
 	for _, id := range expired {
-		l.remove(id)
+		l.remove(now, id)
 	}
 	return l
 }
@@ -177,9 +191,54 @@
 	return l
 }
 
+// WithRestoredSnapshot returns the list after the first complete read of a store that was
+// restored from an older copy of itself. Registrations that are not newer than the known
+// ones change nothing, and removed endpoints stay removed until they register again. An
+// endpoint that is not in entries may have registered after the copy was made; it is
+// retained for graceAfterOutage.
+func (l List) WithRestoredSnapshot(now time.Time, entries []Endpoint) List {
+	l = l.clone()
+	present := make(map[string]struct{}, len(entries))
+	for _, e := range entries {
+		present[e.ID] = struct{}{}
+		if !l.IsOutdated(e) {
+			l.set(e)
+		}
+	}
+	for id, e := range l.endpoints {
+		if _, ok := present[id]; ok {
+			continue
+		}
+		if e.Draining {
+			l.remove(now, id)
+			continue
+		}
+		l.retainedUntil[id] = now.Add(graceAfterOutage)
+	}
+	return l
+}
+
+// IsOutdated reports whether a registration from a restored store is not newer than what
+// is known of the endpoint.
+func (l List) IsOutdated(e Endpoint) bool {
+	if known, ok := l.endpoints[e.ID]; ok {
+		return e.isBefore(known)
+	}
+	gone, ok := l.removed[e.ID]
+	return ok && !gone.endpoint.isBefore(e)
+}
+
+// isBefore reports whether e registered before other, which has the same ID.
+func (e Endpoint) isBefore(other Endpoint) bool {
+	if e.Born != other.Born {
+		return e.Born < other.Born
+	}
+	return e.Sequence < other.Sequence
+}
+
 // clone returns a copy of the list that set, drop and remove may modify.
 func (l List) clone() List {
-	l.endpoints, l.retainedUntil = cloneOrMake(l.endpoints), cloneOrMake(l.retainedUntil)
+	l.endpoints, l.retainedUntil, l.removed = cloneOrMake(l.endpoints), cloneOrMake(l.retainedUntil), cloneOrMake(l.removed)
 	return l
 }
 
@@ -189,6 +248,7 @@
 	}
 	l.endpoints[e.ID] = e
 	delete(l.retainedUntil, e.ID)
+	delete(l.removed, e.ID)
 }
 
 func (l List) drop(now time.Time, id string) {
@@ -198,13 +258,16 @@
 	case !old.Draining && l.storeUnavailable:
 		l.retainedUntil[id] = now.Add(graceAfterOutage)
 	default:
-		l.remove(id)
+		l.remove(now, id)
 	}
 }
 
-func (l List) remove(id string) {
+// remove removes an endpoint and remembers its last registration.
+func (l List) remove(now time.Time, id string) {
+	l.removed[id] = removal{endpoint: l.endpoints[id], at: now}
 	delete(l.endpoints, id)
 	delete(l.retainedUntil, id)
+	maps.DeleteFunc(l.removed, func(_ string, r removal) bool { return now.Sub(r.at) >= removalMemory })
 }
 
 func cloneOrMake[K comparable, V any](m map[K]V) map[K]V {
