A stream that an endpoint breaks off waits for a slot before all others

Cause, by reading: after a break the resumption was queued as a late request, last in the order and for 120 ms at most, and refused at once where the mean wait for a slot was longer. The retry budget was shared first come, first served with retries of what never ran.

Ruled out by reading: the number of attempts and the version, which are the same as before. Not ruled out: that the endpoint's answer was lost with the entry (its logs were not kept).

A resumed request is now first in the queue, waits for up to 1.2 s (its caller leaves after 2 s without an event) and a quarter of the unused retry budget is left to it.

TestStreamIsResumedUnderLoad fails before (the answer is cut off) and passes after; TestWaitingOrder, TestOffer and TestResumeReserve cover the decisions.

--- a/internal/forwarder/acquire.go
+++ b/internal/forwarder/acquire.go
@@ -54,6 +54,10 @@
 	return d, notRun(code, d.RetryAfter, "%d waiting, waited %d ms, first sent %d ms before", d.Waiting, c.waitTime.Milliseconds(), c.receivedAt.Sub(c.firstSentAt).Milliseconds())
 }
 
+// maxResumeWait is how long an interrupted stream waits for an endpoint that can go on.
+// Its caller gives up after two seconds without an event.
+const maxResumeWait = 1200 * time.Millisecond
+
 // balancerRequest returns the balancer's description of a call.
 func (f *Forwarder) balancerRequest(c *call, now time.Time) balancer.Request {
 	r := balancer.Request{
@@ -73,6 +77,12 @@
 	if c.engine != nil {
 		r.PrefillTime = predictor.PrefillTime(c.engine, c.prompt())
 	}
+	if c.deliveredEvents > 0 {
+		// The objective is that of the first output, which the caller has.
+		r.Resumed, r.Repeat = true, false
+		r.StartBy = now.Add(min(maxResumeWait, c.answerDeadline.Sub(now)/2))
+		r.FirstOutputBy = r.StartBy.Add(r.FirstOutputDelay)
+	}
 	if !r.StartBy.After(now) {
 		r.Late = true
 		r.StartBy = now.Add(min(maxLateWait, c.answerDeadline.Sub(now)/4))
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -121,7 +121,12 @@
 	if c.sendCount >= min(c.route.MaxAttempts, maxSendCount) {
 		return f.finalProblem(c, fail)
 	}
-	pause, refusal := f.retryBudgets.get(now, c.service).AllowRetry(now, c.answerDeadline, c.sendCount)
+	budget := f.retryBudgets.get(now, c.service)
+	allow := budget.AllowRetry
+	if c.deliveredEvents > 0 {
+		allow = budget.AllowResume
+	}
+	pause, refusal := allow(now, c.answerDeadline, c.sendCount)
 	if refusal != retrier.RefusalNone {
 		logger.Log(f.cfg.Logger, logger.RetryWithheld, append(f.logFields(c), zap.String("reason", string(refusal)))...)
 		return f.finalProblem(c, fail)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -112,6 +112,8 @@
 		MaxAttempts: maxSendCount,
 		BackoffBase: retryBackoffBase,
 		BackoffCap:  retryBackoffCap,
+		// Broken-off streams are rarer than failed attempts, but cost more.
+		ResumeReserve: resumeReserve,
 	}
 	f.retryBudgets.extraRetries = cfg.Bounds.RetryExtra * retryBudgetShare
 	return f
@@ -128,6 +130,9 @@
 	// retryBudgetShare is the share of the common retry budget that is used. The rest
 	// covers entries that have started or stopped and are not yet detected.
 	retryBudgetShare = 0.7
+	// resumeReserve is the share of the retry budget that is kept for streams that an
+	// endpoint broke off.
+	resumeReserve = 0.25
 	// maxSendCount bounds the sends of one request, regardless of its route's limit.
 	maxSendCount     = 4
 	retryBackoffBase = 5 * time.Millisecond
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -372,6 +372,49 @@
 	}
 }
 
+// TestStreamIsResumedUnderLoad checks that a stream which an endpoint breaks off goes on
+// elsewhere although no slot is free at that moment and its objective has passed.
+func TestStreamIsResumedUnderLoad(t *testing.T) {
+	// The stream breaks off after its objective, and the slot is free some time later.
+	const brokenAfter, slotHeldFor = 430 * time.Millisecond, 600 * time.Millisecond
+	is := is.New(t)
+	broken := newEndpoint(t, func(e *endpoint, w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Id") == "interrupted" {
+			w.Header().Set("Stamp", "s")
+			_, _ = io.WriteString(w, events(1, 2))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(brokenAfter)
+			panic(http.ErrAbortHandler)
+		}
+		status(503, true)(e, w, r)
+	})
+	busy := newEndpoint(t, func(e *endpoint, w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Id") == "holder" {
+			time.Sleep(slotHeldFor)
+		}
+		streamUpTo(6)(e, w, r)
+	})
+	f := newTestForwarder(t, broken, busy)
+	setEndpoints := func(brokenReady bool) {
+		f.forwarder.SetEndpoints("s", []balancer.Endpoint{
+			{ID: "e0", Address: broken.server.Listener.Addr().String(), Slots: 1, Ready: brokenReady},
+			{ID: "e1", Address: busy.server.Listener.Addr().String(), Slots: 1, Ready: true},
+		})
+	}
+	setEndpoints(false)
+	var calls sync.WaitGroup
+	var interrupted reply
+	calls.Go(func() { f.call(t.Context(), t, "stream", "Id", "holder") })
+	waitFor(t, func() bool { return f.forwarder.InFlight() == 1 })
+	time.Sleep(50 * time.Millisecond)
+	setEndpoints(true)
+	calls.Go(func() { interrupted = f.call(t.Context(), t, "stream", "Id", "interrupted") })
+	calls.Wait()
+	is.Equal(interrupted.status, 200)
+	is.Equal(interrupted.aborted, false)
+	is.Equal(interrupted.body, events(1, 6))
+}
+
 // heldProbes is a forwarder.CrashRegistry that convicts after one crash. Its probes end
 // when release is closed.
 type heldProbes struct {
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -125,10 +125,12 @@
 	return len(b.waiting) > 0 && !startsBefore(r, b.waiting[0])
 }
 
-// startsBefore reports whether a is dequeued before b. Requests that can still meet
-// their objective come first, then higher priorities, then earlier StartBy times.
+// startsBefore reports whether a is dequeued before b. Requests whose answer was broken
+// off come first, then those that can still meet their objective, then higher priorities, then earlier StartBy times.
 func startsBefore(a, b Request) bool {
 	switch {
+	case a.Resumed != b.Resumed:
+		return a.Resumed
 	case a.Late != b.Late:
 		return !a.Late
 	case a.Priority != b.Priority:
@@ -150,7 +152,11 @@
 		return 1
 	})
 	refusal := Decision{ID: r.ID, Outcome: OutcomeBusy, Waiting: len(b.waiting), RetryAfter: b.retryAfter()}
-	if !now.Before(r.StartBy) || len(b.waiting) >= b.cfg.MaxWaiting || now.Add(b.expectedWait(index)).After(r.StartBy) {
+	if !now.Before(r.StartBy) || len(b.waiting) >= b.cfg.MaxWaiting {
+		return refusal
+	}
+	// A resumed request gets the next free slot anyway, and has more to lose than time.
+	if !r.Resumed && now.Add(b.expectedWait(index)).After(r.StartBy) {
 		return refusal
 	}
 	b.waiting = slices.Insert(b.waiting, index, r)
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -55,6 +55,14 @@
 		"one lost connection does not pause": {endpoints: endpoints(1, 4), before: fail(balancer.ResultConnectionLost, 1), want: balancer.OutcomeStarted, endpoint: "a"},
 		"two lost connections pause":         {endpoints: endpoints(2, 4), before: fail(balancer.ResultConnectionLost, 2), want: balancer.OutcomeStarted, endpoint: "b"},
 		"refusing endpoint is skipped":       {endpoints: endpoints(2, 4), before: fail(balancer.ResultRefused, 1), want: balancer.OutcomeStarted, endpoint: "b"},
+		"full, resumed request is queued for longer than it is expected to wait": {
+			endpoints: endpoints(1, 1), before: func(b *balancer.Balancer) {
+				b.Offer(at(-5000), request(1, at(-5000)))
+				b.RecordEnd(at(0), "a", 1, balancer.ResultAnswered)
+				fill(1)(b)
+			},
+			change: func(r *balancer.Request) { r.Resumed = true }, want: balancer.OutcomeQueued,
+		},
 		"reported endpoint is preferred": {
 			endpoints: []balancer.Endpoint{{ID: "a", Region: "r", Slots: 100, Ready: true, Unreported: true}, {ID: "b", Region: "q", Slots: 1, Ready: true}},
 			want:      balancer.OutcomeStarted, endpoint: "b",
@@ -126,20 +134,21 @@
 	is := is.New(t)
 	b := newBalancer(endpoints(1, 1))
 	b.Offer(at(0), request(1, at(0)))
-	late, soon, urgent := request(2, at(0)), request(3, at(0)), request(4, at(0))
+	late, soon, urgent, resumed := request(2, at(0)), request(3, at(0)), request(4, at(0)), request(5, at(0))
 	late.Late = true
+	resumed.Resumed, resumed.Priority = true, 9
 	soon.StartBy = at(200)
 	soon.Priority, late.Priority, urgent.Priority = 1, 0, 0
-	for _, r := range []balancer.Request{late, soon, urgent} {
+	for _, r := range []balancer.Request{late, soon, urgent, resumed} {
 		is.Equal(b.Offer(at(1), r).Outcome, balancer.OutcomeQueued)
 	}
 	var order []uint64
-	for id := uint64(1); len(order) < 3; id = order[len(order)-1] {
+	for id := uint64(1); len(order) < 4; id = order[len(order)-1] {
 		ds := b.RecordEnd(at(10), "a", id, balancer.ResultAnswered)
 		is.Equal(len(ds), 1)
 		order = append(order, ds[0].ID)
 	}
-	is.Equal(order, []uint64{4, 3, 2}) // by priority, then by StartBy; late requests last
+	is.Equal(order, []uint64{5, 4, 3, 2}) // resumed, then by priority, then by StartBy; late requests last
 }
 
 func TestExpiredRequestsAreRefused(t *testing.T) {
--- a/pkg/balancer/request.go
+++ b/pkg/balancer/request.go
@@ -62,6 +62,10 @@
 	// Late is set if the request can no longer meet its objective, for example
 	// because it was refused before.
 	Late bool
+	// Resumed is set if the caller has already received a part of the answer, which an
+	// endpoint broke off. Such a request starts before all others: it has cost an endpoint
+	// most of its work, and its caller loses the part if no other endpoint goes on.
+	Resumed bool
 	// Repeat is set if the caller was refused before and sent the request again.
 	Repeat bool
 	// Exclude holds the IDs of endpoints that were already tried.
--- a/pkg/retrier/retrier.go
+++ b/pkg/retrier/retrier.go
@@ -16,6 +16,9 @@
 	// MinPerSecond is the number of retries added to the budget per second,
 	// regardless of traffic.
 	MinPerSecond float64
+	// ResumeReserve is the share of the largest unused budget that AllowRetry leaves to
+	// AllowResume.
+	ResumeReserve float64
 	// Window limits the unused budget to what the requests of this period have added.
 	Window time.Duration
 	// MaxAttempts is the maximum number of attempts per request.
@@ -69,10 +72,26 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
+	reserve := b.cfg.ResumeReserve * max(b.maxTokens()-1, 0)
+	return b.allow(now, deadline, attempts, reserve)
+}
+
+// AllowResume is like AllowRetry for a request whose answer was broken off, and may use
+// the whole budget.
+func (b *Budget) AllowResume(now, deadline time.Time, attempts int) (pause time.Duration, refusal Refusal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	return b.allow(now, deadline, attempts, 0)
+}
+
+// allow deducts a retry from the budget unless that would leave less than reserve. The
+// caller must hold mu.
+func (b *Budget) allow(now, deadline time.Time, attempts int, reserve float64) (pause time.Duration, refusal Refusal) {
 	if pause, refusal = b.nextBackoff(now, deadline, attempts); refusal != RefusalNone {
 		return 0, refusal
 	}
-	if b.tokens < 1 {
+	if b.tokens < 1+reserve {
 		return 0, RefusalBudget
 	}
 	b.tokens--
--- a/pkg/retrier/retrier_test.go
+++ b/pkg/retrier/retrier_test.go
@@ -38,6 +38,31 @@
 	is.True(allowed >= 2000*15/100)
 }
 
+// TestResumeReserve checks that retries of failed requests leave a part of the budget to
+// requests whose answer was broken off, and that both together stay within the budget.
+func TestResumeReserve(t *testing.T) {
+	is := is.New(t)
+	b := retrier.New(retrier.Config{
+		Ratio: 0.25, MinPerSecond: 1, ResumeReserve: 0.25, Window: 10 * time.Second, MaxAttempts: 4,
+		BackoffBase: time.Millisecond, BackoffCap: time.Millisecond,
+	}, start, rand.New(rand.NewPCG(1, 1)))
+	for range 100 {
+		b.RecordRequest(start)
+	}
+	use := func(allow func(now, deadline time.Time, attempts int) (time.Duration, retrier.Refusal)) (n int) {
+		for {
+			if _, refusal := allow(start, start.Add(time.Minute), 1); refusal != retrier.RefusalNone {
+				is.Equal(refusal, retrier.RefusalBudget)
+				return n
+			}
+			n++
+		}
+	}
+	is.Equal(use(b.AllowRetry), 19)
+	is.Equal(use(b.AllowResume), 7)
+	is.Equal(use(b.AllowRetry), 0)
+}
+
 func TestRefusals(t *testing.T) {
 	for name, tc := range map[string]struct {
 		attempts int
