Read the store as rarely as the bounds allow

The intervals follow from the configuration's and the drain's bound now, 0.6 s at 2 s as before and 1.2 s at 4 s.

Ruled out: waiting for records of the list, which come all the time; a longer wait for the configuration than half of the age from which it is too old to deny requests.

TestReadIntervals checks the intervals against the bounds, with one failed read.

--- a/internal/gatewayserver/follower.go
+++ b/internal/gatewayserver/follower.go
@@ -14,15 +14,19 @@
 )
 
 const (
-	// configReadWait is how long a read of the configuration waits for new records.
-	// The confirmation of a configuration is one wait old when a read returns and
-	// two waits old when the next one does. That must be well below the age from
-	// which a configuration is too old to deny requests.
-	configReadWait = 600 * time.Millisecond
-	// listInterval is the time between reads of the list, which gets new records
-	// continuously. It is part of the time within which a leaving endpoint must
-	// stop getting new work.
-	listInterval = 600 * time.Millisecond
+	// configReadShare is how long a read of the configuration waits for new records, as a
+	// share of the age from which a configuration is too old to deny requests. The
+	// confirmation of a configuration is one wait old when a read returns and two waits
+	// old when the next one does.
+	configReadShare = 0.375
+	// listReadShare is the time between reads of the list, which gets new records
+	// continuously, as a share of the time within which a leaving endpoint must stop
+	// getting new work.
+	listReadShare = 0.3
+	// minReadInterval and maxReadInterval bound both times. Each read has its price, but
+	// new endpoints should get requests soon.
+	minReadInterval = 300 * time.Millisecond
+	maxReadInterval = 1500 * time.Millisecond
 	// storeTimeout bounds the time for a response beyond the requested wait.
 	storeTimeout = 700 * time.Millisecond
 	// minStorePause is the pause after the first failure. It doubles with each
@@ -53,6 +57,11 @@
 	retryPause     time.Duration
 }
 
+// readInterval returns a share of a bound as the time of a read.
+func readInterval(bound time.Duration, share float64) time.Duration {
+	return min(max(time.Duration(share*float64(bound)), minReadInterval), maxReadInterval)
+}
+
 // storeRead is the result of a read.
 type storeRead struct {
 	values []platform.Value
--- /dev/null
+++ b/internal/gatewayserver/follower_test.go
@@ -0,0 +1,40 @@
+package gatewayserver
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/internal/configurator"
+)
+
+// TestReadIntervals checks that reads of the store are as rare as the bounds allow: the
+// configuration is confirmed again before it is too old to deny requests, and a leaving
+// endpoint is noticed in time although one read fails.
+func TestReadIntervals(t *testing.T) {
+	tests := map[string]struct {
+		configurationMillis, drainMillis int64
+		configWait, listInterval         time.Duration
+	}{
+		"short bounds": {configurationMillis: 2000, drainMillis: 2000, configWait: 600 * time.Millisecond, listInterval: 600 * time.Millisecond},
+		"longer":       {configurationMillis: 3000, drainMillis: 3000, configWait: 900 * time.Millisecond, listInterval: 900 * time.Millisecond},
+		"long":         {configurationMillis: 4000, drainMillis: 4000, configWait: 1200 * time.Millisecond, listInterval: 1200 * time.Millisecond},
+		"very long":    {configurationMillis: 60_000, drainMillis: 60_000, configWait: maxReadInterval, listInterval: maxReadInterval},
+		"no time":      {configurationMillis: 1, drainMillis: 0, configWait: minReadInterval, listInterval: minReadInterval},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			denialAge := bounds(configurator.Bounds{ConfigurationMillis: tc.configurationMillis}).Configuration
+			configWait := readInterval(denialAge, configReadShare)
+			listInterval := readInterval(configurator.Millis(tc.drainMillis), listReadShare)
+			is.Equal(configWait, tc.configWait)
+			is.Equal(listInterval, tc.listInterval)
+			if tc.drainMillis >= 2000 {
+				is.True(2*configWait < denialAge)
+				is.True(2*listInterval+storeTimeout < configurator.Millis(tc.drainMillis))
+			}
+		})
+	}
+}
--- a/internal/gatewayserver/peers.go
+++ b/internal/gatewayserver/peers.go
@@ -15,6 +15,9 @@
 // the configuration and the list, and their earlier naming times.
 type peersController struct {
 	self string
+	// listAdoptionMargin is how much later a peer's list must have been confirmed for
+	// it to be adopted: longer than the time between two reads of the store.
+	listAdoptionMargin time.Duration
 }
 
 const (
@@ -58,7 +61,7 @@
 	s.config = s.config.withEarlierVersionAges(now, msg.GetNewest())
 	var needsConfig, needsList bool
 	s.config, needsConfig = s.config.withPeerConfirmation(now, msg)
-	s.list, needsList = s.list.withPeerConfirmation(now, msg)
+	s.list, needsList = s.list.withPeerConfirmation(now, msg, p.listAdoptionMargin)
 	if needsConfig || needsList {
 		actions = append(actions, peerStateNeeded{address: msg.GetAddress()})
 	}
@@ -93,16 +96,15 @@
 }
 
 // withPeerConfirmation adopts a peer's later confirmation of the same list. It reports
-// whether the peer's list differs and was confirmed later by more than
-// listAdoptionMargin.
-func (l list) withPeerConfirmation(now time.Time, msg *messenger.Presence) (list, bool) {
+// whether the peer's list differs and was confirmed later by more than margin.
+func (l list) withPeerConfirmation(now time.Time, msg *messenger.Presence, margin time.Duration) (list, bool) {
 	at, ok := ageReferenceTime(now, msg)
 	if !ok || !msg.GetListKnown() {
 		return l, false
 	}
 	at = at.Add(-age(msg.GetListAgeMs()))
 	if msg.GetListDigest() != l.digest {
-		return l, at.Sub(l.confirmedAt) > listAdoptionMargin
+		return l, at.Sub(l.confirmedAt) > margin
 	}
 	if at.After(l.confirmedAt) {
 		l.confirmedAt = at
@@ -110,10 +112,6 @@
 	return l, false
 }
 
-// listAdoptionMargin is how much later a peer's list must have been confirmed for
-// it to be adopted. Two reads of the store are closer together than that.
-const listAdoptionMargin = 1200 * time.Millisecond
-
 // ageReferenceTime returns the time to which the ages in a presence message refer: when
 // this process sent the message that the peer replied to. It reports false if msg is
 // not a reply or arrived echoTimeout or more after that message.
--- a/internal/gatewayserver/relay.go
+++ b/internal/gatewayserver/relay.go
@@ -115,7 +115,7 @@
 		}
 	}
 	startedAt := sentAt.Add(-age(reply.GetListAgeMs()))
-	if reply.GetListKnown() && startedAt.Sub(v.list.confirmedAt) > listAdoptionMargin && len(reply.GetList()) > 0 {
+	if reply.GetListKnown() && startedAt.Sub(v.list.confirmedAt) > s.listAdoptionMargin() && len(reply.GetList()) > 0 {
 		return s.board.Send(ctx, listRead{values: fromStoredValues(reply.GetList()), snapshot: true, startedAt: startedAt, source: address})
 	}
 	return nil
--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -116,7 +116,7 @@
 	}
 	s.board = controller.New(controller.Config[state]{
 		Controllers: []controller.Controller[state]{
-			storeController{}, configurationController{}, endpointsController{}, peersController{self: s.self},
+			storeController{}, configurationController{}, endpointsController{}, peersController{self: s.self, listAdoptionMargin: s.listAdoptionMargin()},
 		},
 		QueueLength:  controlQueueLength,
 		TickInterval: tickInterval,
@@ -282,7 +282,8 @@
 
 func (s *Server) configFollower() *follower {
 	return &follower{
-		server: s, store: platform.NewConfigurationStore(s.cfg.Settings.Store), maxWait: configReadWait,
+		server: s, store: platform.NewConfigurationStore(s.cfg.Settings.Store),
+		maxWait: readInterval(bounds(s.cfg.Settings.Bounds).Configuration, configReadShare),
 		apply: func(r storeRead) error {
 			e := configRead{values: r.values, startedAt: r.startedAt, epoch: r.epoch, source: sourceStore}
 			if r.snapshot {
@@ -297,7 +298,8 @@
 
 func (s *Server) listFollower() *follower {
 	return &follower{
-		server: s, store: platform.NewEndpointStore(s.cfg.Settings.Store), interval: listInterval,
+		server: s, store: platform.NewEndpointStore(s.cfg.Settings.Store),
+		interval: s.listInterval(),
 		apply: func(r storeRead) error {
 			return s.board.Send(context.Background(), listRead{values: r.values, snapshot: r.snapshot, startedAt: r.startedAt, epoch: r.epoch, source: sourceStore})
 		},
@@ -306,6 +308,15 @@
 	}
 }
 
+// listInterval returns the time between reads of the list.
+func (s *Server) listInterval() time.Duration {
+	return readInterval(configurator.Millis(s.cfg.Settings.Bounds.DrainMillis), listReadShare)
+}
+
+// listAdoptionMargin returns how much later a peer's list must have been confirmed for it
+// to be adopted.
+func (s *Server) listAdoptionMargin() time.Duration { return 2 * s.listInterval() }
+
 // sourceStore is the source in log lines for values read from the store.
 const sourceStore = "store"
 
