--- a/internal/gatewayserver/endpoints.go
+++ b/internal/gatewayserver/endpoints.go
@@ -92,55 +92,68 @@
 	}
 	restored := e.snapshot && l.known && lastPosition(e).Epoch > l.position.Epoch
 	l.position = latest(l.position, lastPosition(e))
-	var actions []controller.Action
-	var present []registrar.Endpoint
-	var changes []registrar.Change
-	values := cloneMap(l.values)
+	read, actions := l.decode(e, restored)
+	l.endpoints = l.endpoints.WithChanges(now, read.changes)
+	switch {
+	case restored:
+		l.endpoints = l.endpoints.WithRestoredSnapshot(now, read.present)
+	case e.snapshot:
+		l.endpoints = l.endpoints.WithSnapshot(now, read.present)
+	}
+	l.values, l.known = read.values, true
+	if e.startedAt.After(l.confirmedAt) {
+		l.confirmedAt = e.startedAt
+	}
+	return l, actions
+}
+
+// decodedRead is what a read means for a list.
+type decodedRead struct {
+	// values are those that the list passes on to peers after the read.
+	values map[string]platform.Value
+	// present are the endpoints of a snapshot, changes those of another read. Removals
+	// are in changes in both cases.
+	present []registrar.Endpoint
+	changes []registrar.Change
+}
+
+// decode decodes the values of a read. restored is set for the first snapshot of a store
+// that was restored from an older copy, whose values may be older than the known ones.
+func (l list) decode(e listRead, restored bool) (read decodedRead, actions []controller.Action) {
+	read.values = cloneMap(l.values)
 	if e.snapshot {
-		values = map[string]platform.Value{}
+		read.values = map[string]platform.Value{}
 	}
 	for _, v := range e.values {
-		if known, ok := l.values[v.Key]; ok && known.Position.Compare(v.Position) > 0 {
+		known, isKnown := l.values[v.Key]
+		if isKnown && known.Position.Compare(v.Position) > 0 {
 			v = known
 		}
 		if v.Data == nil {
-			delete(values, v.Key)
-			changes = append(changes, registrar.Change{ID: v.Key})
+			delete(read.values, v.Key)
+			read.changes = append(read.changes, registrar.Change{ID: v.Key})
 			continue
 		}
 		endpoint, err := platform.DecodeEndpoint(v.Key, v.Data)
 		if err != nil {
 			actions = append(actions, logEvent(logger.EntryUnreadable, zap.String("endpoint", v.Key), zap.Error(err)))
-			changes = append(changes, registrar.Change{ID: v.Key})
+			read.changes = append(read.changes, registrar.Change{ID: v.Key})
 			continue
 		}
-		if restored && l.endpoints.IsOutdated(endpoint) {
-			// The store was restored from a copy that was made before the known record.
-			if known, ok := l.values[v.Key]; ok {
-				values[v.Key] = known
-			}
-			present = append(present, endpoint)
-			continue
+		isOutdated := restored && l.endpoints.IsOutdated(endpoint)
+		switch {
+		case !isOutdated:
+			read.values[v.Key] = v
+		case isKnown:
+			read.values[v.Key] = known
 		}
-		values[v.Key] = v
 		if e.snapshot {
-			present = append(present, endpoint)
+			read.present = append(read.present, endpoint)
 			continue
 		}
-		changes = append(changes, registrar.Change{ID: v.Key, Endpoint: &endpoint})
+		read.changes = append(read.changes, registrar.Change{ID: v.Key, Endpoint: &endpoint})
 	}
-	l.endpoints = l.endpoints.WithChanges(now, changes)
-	switch {
-	case restored:
-		l.endpoints = l.endpoints.WithRestoredSnapshot(now, present)
-	case e.snapshot:
-		l.endpoints = l.endpoints.WithSnapshot(now, present)
-	}
-	l.values, l.known = values, true
-	if e.startedAt.After(l.confirmedAt) {
-		l.confirmedAt = e.startedAt
-	}
-	return l, actions
+	return read, actions
 }
 
 // lastPosition returns the position of the latest value that was read. Without values,
--- a/pkg/balancer/pick.go
+++ b/pkg/balancer/pick.go
@@ -71,6 +71,15 @@
 	return !r.Repeat || !r.Late || m.load(now, b.cfg.Senders) < (1-lateReservedShare)*m.capacity()
 }
 
+// isAvailable reports whether an endpoint can run the request now: it is healthy and has a
+// free slot for it.
+func (b *Balancer) isAvailable(now time.Time, m *member, r Request) bool {
+	if !m.canRun(r) || now.Before(m.pausedUntil) || (m.isOnProbation() && m.localRequests > 0) || m.isStuck(now) {
+		return false
+	}
+	return m.canAccept(now, b.cfg.Senders) && b.leavesSlots(now, m, r)
+}
+
 // pickLeastLoaded returns the eligible endpoint with the lowest cost. An endpoint whose
 // load is not reported is eligible only if no other one can run the request.
 func (b *Balancer) pickLeastLoaded(now time.Time, r Request) (best *member) {
@@ -78,10 +87,7 @@
 	random := r.Random
 	usesUnreported := !b.canRunReported(r)
 	for _, m := range b.memberList {
-		if m.Unreported && !usesUnreported || !m.canRun(r) || now.Before(m.pausedUntil) || (m.isOnProbation() && m.localRequests > 0) || m.isStuck(now) {
-			continue
-		}
-		if !m.canAccept(now, b.cfg.Senders) || !b.leavesSlots(now, m, r) {
+		if m.Unreported && !usesUnreported || !b.isAvailable(now, m, r) {
 			continue
 		}
 		load, capacity := m.load(now, b.cfg.Senders), m.capacity()
