A sidecar reports no load before its first plan

Since entries subscribe, a sidecar could be asked before it had a plan; without the model it reported that the endpoint had loaded nothing, and the entry took it as not ready until the next report. Sidecars that are killed and start again are asked like that each time.

TestLoadIsNotReportedBeforePlan fails before and passes after.

--- a/internal/agentserver/load.go
+++ b/internal/agentserver/load.go
@@ -102,8 +102,12 @@
 	}
 }
 
-// reportLoad reports the endpoint's load to the receivers to which it is due.
+// reportLoad reports the endpoint's load to the receivers to which it is due. Before the
+// first plan, the model is not known, and so not which version of it is loaded.
 func (s *Server) reportLoad(now time.Time, r platform.Report) {
+	if !s.isPlanApplied {
+		return
+	}
 	l := &messenger.LoadReport{
 		Endpoint:     s.cfg.Settings.EndpointAddress,
 		Born:         uint64(r.Born),
--- a/internal/agentserver/load_test.go
+++ b/internal/agentserver/load_test.go
@@ -1,13 +1,17 @@
 package agentserver
 
 import (
+	"expvar"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
+	"flamingoledge.org/flamingoledge/internal/configurator"
 	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/platform"
 )
 
 // TestReceiversDue replays the polls of an endpoint whose load or status changes and
@@ -67,3 +71,24 @@
 	is.Equal(len(due), 1)
 	is.Equal(total, 1)
 }
+
+// TestLoadIsNotReportedBeforePlan checks that an entry which subscribes to a sidecar that has
+// just started is not told that the endpoint has loaded nothing: the sidecar does not know
+// the model yet.
+func TestLoadIsNotReportedBeforePlan(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	n := configurator.DefaultNode()
+	n.Address, n.EndpointAddress = "127.0.0.1", "127.0.0.1:1"
+	s, err := New(Config{Settings: n, Clock: func() time.Time { return now }, Logger: zap.NewNop(), Metrics: new(expvar.Map).Init()})
+	is.NoErr(err)
+	defer s.socket.Close()
+	entry := netip.MustParseAddrPort("127.0.0.1:9")
+	s.handleDatagram(entry, &messenger.Datagram{Subscription: &messenger.Subscription{IntervalMs: 60}})
+	report := platform.Report{Models: []platform.ReportedModel{{Model: "m", Version: 3, LayersUnreported: true}}}
+	s.reportLoad(now, report)
+	is.True(s.receivers.byAddress[entry].lastLoad == nil)
+	s.applyPlan(&messenger.PlanReply{Known: true, Versions: []*messenger.NamedVersion{{Model: "m", Version: 3}}})
+	s.reportLoad(now, report)
+	is.Equal(s.receivers.byAddress[entry].lastLoad.GetVersion(), uint64(3))
+}
--- a/internal/agentserver/server.go
+++ b/internal/agentserver/server.go
@@ -73,8 +73,9 @@
 	receivers receivers
 	// plans contains the latest plan that is not yet applied.
 	plans chan *messenger.PlanReply
-	// model is the model of the applied plan.
-	model string
+	// isPlanApplied is set once a plan was applied, model is the model of the latest one.
+	isPlanApplied bool
+	model         string
 
 	// sequence is the number of the last load report. Together with startedNanos, the
 	// start time of this process in Unix nanoseconds, it orders the reports.
@@ -184,7 +185,7 @@
 	for _, m := range p.GetMembers() {
 		plan.Members = append(plan.Members, planner.Member{Instance: m.GetAddress(), Region: m.GetRegion()})
 	}
-	s.model = plan.Model
+	s.isPlanApplied, s.model = true, plan.Model
 	s.stager.SetPlan(now, plan)
 }
 
