--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -126,7 +126,8 @@
 }
 
 // startsBefore reports whether a is dequeued before b. Requests whose answer was broken
-// off come first, then those that can still meet their objective, then higher priorities, then earlier StartBy times.
+// off come first, then those that can still meet their objective, then higher priorities,
+// then earlier StartBy times.
 func startsBefore(a, b Request) bool {
 	switch {
 	case a.Resumed != b.Resumed:
