Log pauses of a process and the silence of an endpoint

The logs could not tell a suspended instance from one that is cut off, nor how long an endpoint had been silent when a caller left. Processes log process_paused when they run again; log lines of a request that was sent have the field silence.

--- a/internal/agentserver/server.go
+++ b/internal/agentserver/server.go
@@ -23,6 +23,7 @@
 	"flamingoledge.org/flamingoledge/internal/gossiper"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/internal/pauselogger"
 	"flamingoledge.org/flamingoledge/internal/sleeper"
 	"flamingoledge.org/flamingoledge/internal/stager"
 	"flamingoledge.org/flamingoledge/internal/transferrer"
@@ -130,6 +131,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { s.pollPlan(ctx) })
 	wg.Go(func() { s.monitorEndpoint(ctx) })
+	wg.Go(func() { pauselogger.Run(ctx, s.cfg.Clock, s.cfg.Logger) })
 	wg.Go(func() { s.socket.Receive(ctx, s.handleDatagram) })
 	logger.Log(s.cfg.Logger, logger.ProcessStarted, zap.String("address", s.self), zap.String("endpoint", s.cfg.Settings.EndpointAddress))
 	err = connector.Serve(ctx, lis, nil, mux)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -57,7 +57,7 @@
 func (f *Forwarder) sendAttempt(c *call, d balancer.Decision) (a *attempt, fail *failure) {
 	a = &attempt{dispatcher: f.dispatchers.get(c.service), request: d.ID, endpoint: d.Endpoint}
 	now := f.cfg.Clock()
-	c.endpoint, c.sentAt = d.Endpoint.ID, now
+	c.endpoint, c.sentAt, c.lastOutputAt = d.Endpoint.ID, now, now
 	if c.engine != nil && c.weightsVersion == 0 {
 		c.weightsVersion = d.Endpoint.Version
 	}
@@ -96,6 +96,7 @@
 		return a, notBegunFailure(ctx, fail)
 	}
 	firstOutputAt := f.cfg.Clock()
+	c.lastOutputAt = firstOutputAt
 	f.firstByteEstimator.observe(c, firstOutputAt.Sub(now))
 	a.dispatcher.recordFirstOutput(firstOutputAt, a.endpoint.ID, a.request)
 	return a, nil
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -48,7 +48,10 @@
 	weightsVersion uint64
 	endpoint       string
 	sentAt         time.Time
-	waitTime       time.Duration
+	// lastOutputAt is when the endpoint of the current attempt last sent a part of the
+	// answer, or when the request was sent to it.
+	lastOutputAt time.Time
+	waitTime     time.Duration
 	// unknownOutcome is the failure of the last attempt that may have run without
 	// delivering a complete answer; nil if there was none.
 	unknownOutcome error
--- a/internal/forwarder/problem.go
+++ b/internal/forwarder/problem.go
@@ -97,9 +97,10 @@
 
 // logFields returns the log fields that identify a call and its state.
 func (f *Forwarder) logFields(c *call) []zap.Field {
+	now := f.cfg.Clock()
 	fields := []zap.Field{
 		zap.String("request_id", c.RequestID), zap.Uint64("config_version", c.configVersion),
-		zap.Duration("config_age", c.configAge), zap.Duration("taken", f.cfg.Clock().Sub(c.receivedAt)),
+		zap.Duration("config_age", c.configAge), zap.Duration("taken", now.Sub(c.receivedAt)),
 	}
 	if c.route != nil {
 		fields = append(fields, zap.String("route", c.route.Name), zap.String("service", c.service))
@@ -108,7 +109,7 @@
 		fields = append(fields, zap.String("workspace", c.workspace.Name))
 	}
 	if c.sendCount > 0 {
-		fields = append(fields, zap.String("endpoint", c.endpoint), zap.Int("sends", c.sendCount))
+		fields = append(fields, zap.String("endpoint", c.endpoint), zap.Int("sends", c.sendCount), zap.Duration("silence", now.Sub(c.lastOutputAt)))
 	}
 	return fields
 }
--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -28,6 +28,7 @@
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
 	"flamingoledge.org/flamingoledge/internal/notifier"
+	"flamingoledge.org/flamingoledge/internal/pauselogger"
 	"flamingoledge.org/flamingoledge/internal/sleeper"
 	"flamingoledge.org/flamingoledge/pkg/assigner"
 	"flamingoledge.org/flamingoledge/pkg/controller"
@@ -195,6 +196,7 @@
 	wg.Go(func() { s.listFollower().run(background) })
 	wg.Go(func() { s.pruneConns(background) })
 	wg.Go(func() { s.dispatchWaiting(background) })
+	wg.Go(func() { pauselogger.Run(background, s.cfg.Clock, s.cfg.Logger) })
 	wg.Go(func() { serveErrs <- connector.Serve(background, nodes, nil, s.newMux()) })
 	wg.Go(func() { serveErrs <- readiness.Serve(ready) })
 	wg.Go(func() { serveErrs <- server.Serve(callers) })
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -24,6 +24,8 @@
 		"The settings file was read again after SIGHUP and is valid. `changed` lists the settings that differ from those in use; they take effect after a restart.")
 	MetricsUnserved = register(1009, "metrics_unserved", zapcore.WarnLevel,
 		"The metrics can't be served on their address. The process continues without them.")
+	ProcessPaused = register(1010, "process_paused", zapcore.WarnLevel,
+		"The process did not run for some time, given in `pause`: its instance was suspended or had no processor time. Calls to it were not answered meanwhile, and what arrived is handled now.")
 	SettingsRefused = register(1008, "settings_refused", zapcore.ErrorLevel,
 		"The settings file was read again after SIGHUP and is invalid. The process continues with the settings in use, but would not start with this file.")
 )
