--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -178,6 +178,8 @@
 	short.Timeout = 150 * time.Millisecond
 	long := route("long", resolver.KindStreaming, 2, false)
 	long.Timeout = 3 * time.Second
+	steady := route("steady", resolver.KindStreaming, 2, true)
+	steady.Timeout, steady.GapObjective = 6*time.Second, 200*time.Millisecond
 	whole := route("whole", resolver.KindSafe, 2, false)
 	whole.Timeout = 3 * time.Second
 	brief := route("brief", resolver.KindSafe, 2, false)
@@ -186,7 +188,7 @@
 		Version: 1,
 		Routes: []resolver.Route{
 			route("safe", resolver.KindSafe, 2, false), route("unsafe", resolver.KindUnsafe, 2, false),
-			route("stream", resolver.KindStreaming, 2, true), route("once", resolver.KindStreaming, 2, false), keyed, short, brief, long, whole,
+			route("stream", resolver.KindStreaming, 2, true), route("once", resolver.KindStreaming, 2, false), keyed, short, brief, long, whole, steady,
 		},
 		Services:   []resolver.Service{{Name: "s"}},
 		Workspaces: []resolver.Workspace{{Name: "w", Keys: []string{"k"}}},
