A request leaves an endpoint that has fallen silent before its caller gives up

Cause: an entry waited for an output as long as the caller's deadline, however long the endpoint had been silent. Callers give up earlier, after 2 s or more without an event, and a suspended instance runs what it received once it is back. New requests avoid such an endpoint after 0.5 s (isStuck); those that were there did not.

Now a repeatable request without output for 0.4 of its caller's patience waits for a slot at another endpoint, first in the queue and within the retry budget, and is canceled when it has the slot.

TestCallersLeaveSuspendedEndpoint failed before (four of six cases) and passes. TestSuspendedEndpointReplayed: 12 of 12 callers lost without, none with, no slow one moved.

--- a/internal/forwarder/acquire.go
+++ b/internal/forwarder/acquire.go
@@ -19,7 +19,9 @@
 	for {
 		startedAt := f.cfg.Clock()
 		var err error
-		d, err = dp.awaitDecision(c.ctx, f.cfg.Clock, f.balancerRequest(c, startedAt))
+		if d = c.takeReserved(); d.Outcome != balancer.OutcomeStarted {
+			d, err = dp.awaitDecision(c.ctx, f.cfg.Clock, f.balancerRequest(c, startedAt))
+		}
 		now = f.cfg.Clock()
 		c.waitTime += now.Sub(startedAt)
 		if err != nil {
@@ -58,25 +60,33 @@
 // Its caller gives up after two seconds without an event.
 const maxResumeWait = 1200 * time.Millisecond
 
-// balancerRequest returns the balancer's description of a call.
-func (f *Forwarder) balancerRequest(c *call, now time.Time) balancer.Request {
+// newBalancerRequest returns the balancer's description of a call, without the times until
+// which it may wait.
+func (f *Forwarder) newBalancerRequest(c *call, now time.Time) balancer.Request {
 	r := balancer.Request{
-		ID:       f.requestIDs.Add(1),
-		Priority: c.priority(),
-		Exclude:  append(f.slowEndpoints(c, now), c.triedEndpoints...),
-		Version:  c.weightsVersion,
-		Random:   rand.Uint64(),
+		ID:               f.requestIDs.Add(1),
+		Priority:         c.priority(),
+		Exclude:          append(f.slowEndpoints(c, now), c.triedEndpoints...),
+		Version:          c.weightsVersion,
+		MinVersion:       f.minVersion(c, now),
+		FirstOutputDelay: f.firstByteEstimator.estimate(c),
+		Random:           rand.Uint64(),
 	}
 	if c.workspace != nil {
 		r.Workspace = c.workspace.Name
 	}
-	r.Repeat = c.firstSentAt.Before(c.receivedAt)
-	r.FirstOutputDelay = f.firstByteEstimator.estimate(c)
-	r.FirstOutputBy = c.firstSentAt.Add(c.route.Objective)
-	r.StartBy = r.FirstOutputBy.Add(-r.FirstOutputDelay)
 	if c.engine != nil {
 		r.PrefillTime = predictor.PrefillTime(c.engine, c.prompt())
 	}
+	return r
+}
+
+// balancerRequest returns the balancer's description of a call.
+func (f *Forwarder) balancerRequest(c *call, now time.Time) balancer.Request {
+	r := f.newBalancerRequest(c, now)
+	r.Repeat = c.firstSentAt.Before(c.receivedAt)
+	r.FirstOutputBy = c.firstSentAt.Add(c.route.Objective)
+	r.StartBy = r.FirstOutputBy.Add(-r.FirstOutputDelay)
 	if c.deliveredEvents > 0 {
 		// The objective is that of the first output, which the caller has.
 		r.Resumed, r.Repeat = true, false
@@ -87,7 +97,6 @@
 		r.Late = true
 		r.StartBy = now.Add(min(maxLateWait, c.answerDeadline.Sub(now)/4))
 	}
-	r.MinVersion = f.minVersion(c, now)
 	return r
 }
 
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -66,7 +66,7 @@
 			return
 		}
 		if batch, err = a.events.next(); err == nil || errors.Is(err, io.EOF) {
-			c.lastOutputAt = f.cfg.Clock()
+			f.recordOutput(a, f.cfg.Clock())
 			continue
 		}
 		if a = f.resumeStream(w, c, a, err); a == nil {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -16,7 +17,10 @@
 // attempt is one attempt to run a call on an endpoint, with the part of the answer
 // that was read.
 type attempt struct {
+	call       *call
 	dispatcher *dispatcher
+	// ctx is the context of the exchange, whose cause says why the attempt was canceled.
+	ctx context.Context
 	// request is the ID by which the dispatcher identifies the call.
 	request  uint64
 	endpoint balancer.Endpoint
@@ -55,8 +59,13 @@
 // sendAttempt sends a call to an endpoint and reads its answer until it is known
 // whether it can be forwarded.
 func (f *Forwarder) sendAttempt(c *call, d balancer.Decision) (a *attempt, fail *failure) {
-	a = &attempt{dispatcher: f.dispatchers.get(c.service), request: d.ID, endpoint: d.Endpoint}
 	now := f.cfg.Clock()
+	a = &attempt{call: c, dispatcher: f.dispatchers.get(c.service), request: d.ID, endpoint: d.Endpoint}
+	defer func() {
+		if fail != nil {
+			f.endWatch(a)
+		}
+	}()
 	c.endpoint, c.sentAt, c.lastOutputAt = d.Endpoint.ID, now, now
 	if c.engine != nil && c.weightsVersion == 0 {
 		c.weightsVersion = d.Endpoint.Version
@@ -73,9 +82,10 @@
 		info.Workspace = c.workspace.Name
 	}
 	delivery := f.newDelivery(c, d.Endpoint)
-	ctx, markBegun := f.contextUntilBegun(c, d, delivery, now)
+	var markBegun func()
+	a.ctx, markBegun = f.contextUntilBegun(f.silence.watch(now, c, d), c, d, delivery, now)
 	defer markBegun()
-	answer, err := f.cfg.Pool.Exchange(ctx, exchanger.Request{
+	answer, err := f.cfg.Pool.Exchange(a.ctx, exchanger.Request{
 		Address:         d.Endpoint.Address,
 		Method:          c.request.Method,
 		Target:          c.target,
@@ -87,16 +97,16 @@
 		Delivery:        delivery,
 	})
 	if err != nil {
-		return a, notBegunFailure(ctx, f.transportFailure(c, a, err))
+		return a, f.transportFailure(c, a, err)
 	}
 	c.sendCount++
 	a.answer = answer
 	if fail = f.checkAnswer(c, a); fail != nil {
 		answer.Close()
-		return a, notBegunFailure(ctx, fail)
+		return a, fail
 	}
 	firstOutputAt := f.cfg.Clock()
-	c.lastOutputAt = firstOutputAt
+	f.recordOutput(a, firstOutputAt)
 	f.firstByteEstimator.observe(c, firstOutputAt.Sub(now))
 	a.dispatcher.recordFirstOutput(firstOutputAt, a.endpoint.ID, a.request)
 	return a, nil
@@ -177,5 +187,19 @@
 	if a.answer != nil {
 		a.answer.Close()
 	}
+	f.endWatch(a)
 	a.dispatcher.recordEnd(f.cfg.Clock(), a.endpoint.ID, a.request, r)
 }
+
+// endWatch stops watching an attempt for silence.
+func (f *Forwarder) endWatch(a *attempt) {
+	if moved := f.silence.end(a.request); moved != nil {
+		a.call.reserved = &moved.next
+	}
+}
+
+// recordOutput records that a part of an attempt's answer has arrived.
+func (f *Forwarder) recordOutput(a *attempt, now time.Time) {
+	a.call.lastOutputAt = now
+	f.silence.recordOutput(now, a.request)
+}
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"flamingoledge.org/flamingoledge/pkg/balancer"
 	"flamingoledge.org/flamingoledge/pkg/estimator"
 	"flamingoledge.org/flamingoledge/pkg/resolver"
 )
@@ -58,6 +59,19 @@
 	// deliveredEvents counts the events that were sent to the caller.
 	deliveredEvents int
 	headerSent      bool
+	// reserved is the decision for the next attempt if a slot is already reserved for it;
+	// nil otherwise.
+	reserved *balancer.Decision
+}
+
+// takeReserved returns the decision that was reserved for the next attempt, or the zero
+// decision.
+func (c *call) takeReserved() (d balancer.Decision) {
+	if c.reserved != nil {
+		d = *c.reserved
+	}
+	c.reserved = nil
+	return d
 }
 
 // readRequest reads a caller's request, resolves its route, workspace and service, and
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -32,6 +32,7 @@
 // serveCall runs a call and sends its answer or problem to the caller.
 func (f *Forwarder) serveCall(w http.ResponseWriter, c *call) {
 	f.retryBudgets.get(c.receivedAt, c.service).RecordRequest(c.receivedAt)
+	defer f.releaseReserved(c)
 	a, p := f.runAttempts(c)
 	if p != nil {
 		f.writeProblem(w, c, p)
@@ -49,19 +50,29 @@
 	var notSent *exchanger.NotSentError
 	if errors.As(err, &notSent) {
 		fail := &failure{result: balancer.ResultUnreachable, cause: err}
-		if c.ctx.Err() != nil {
-			fail.result = balancer.ResultCanceled
-		}
+		fail.setCancellation(a.ctx)
 		return fail
 	}
 	c.sendCount++
-	fail := &failure{result: balancer.ResultConnectionLost, mayHaveRun: true, sent: true, cause: err}
-	if c.ctx.Err() != nil {
-		fail.result = balancer.ResultCanceled
-		return fail
-	}
-	f.probeForCrash(c, a.endpoint)
-	return fail
+	return f.interruptedAnswer(c, a, err)
+}
+
+// setCancellation sets the result and the cause of a failure if ctx, the context of the
+// attempt, was canceled. It returns false if it was not.
+func (e *failure) setCancellation(ctx context.Context) bool {
+	if ctx.Err() == nil {
+		return false
+	}
+	// A request that was sent may have begun just before it was canceled.
+	e.result = balancer.ResultCanceled
+	var silent *silentEndpointError
+	switch cause := context.Cause(ctx); {
+	case errors.As(cause, &silent):
+		e.result, e.cause = balancer.ResultSilent, silent
+	case errors.Is(cause, errNotBegun):
+		e.cause = errNotBegun
+	}
+	return true
 }
 
 // errRetryGranted is the cause of a safe request's failure for which the retry budget
@@ -71,11 +82,9 @@
 // interruptedAnswer classifies an error while reading an answer.
 func (f *Forwarder) interruptedAnswer(c *call, a *attempt, err error) *failure {
 	fail := &failure{result: balancer.ResultConnectionLost, mayHaveRun: true, sent: true, cause: err}
-	if c.ctx.Err() != nil {
-		fail.result = balancer.ResultCanceled
-		return fail
+	if !fail.setCancellation(a.ctx) {
+		f.probeForCrash(c, a.endpoint)
 	}
-	f.probeForCrash(c, a.endpoint)
 	return fail
 }
 
@@ -106,7 +115,7 @@
 	if fail.mayHaveRun && !c.route.IsRetryable() {
 		return f.unknownOutcome(c)
 	}
-	if errors.Is(fail.cause, errRetryGranted) {
+	if errors.Is(fail.cause, errRetryGranted) || c.reserved != nil {
 		return nil
 	}
 	now := f.cfg.Clock()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -94,6 +94,7 @@
 	startEstimator     startEstimator
 	firstByteEstimator firstByteEstimator
 	deliveryDelays     deliveryDelays
+	silence            silenceWatch
 
 	inFlight   atomic.Int64
 	draining   atomic.Bool
@@ -103,7 +104,7 @@
 
 // New returns a forwarder without endpoints.
 func New(cfg Config) *Forwarder {
-	f := &Forwarder{cfg: cfg, latency: newLatencyHistogram(cfg.Metrics)}
+	f := &Forwarder{cfg: cfg, silence: newSilenceWatch(), latency: newLatencyHistogram(cfg.Metrics)}
 	f.startEstimator.estimator = estimator.New()
 	f.dispatchers.cfg = balancer.Config{Region: cfg.Region, RemoteRegionPenalty: remotePenalty, MaxWaiting: maxWaiting, Senders: 1}
 	f.retryBudgets.cfg = retrier.Config{
@@ -161,9 +162,11 @@
 	f.retryBudgets.setEntryCount(n)
 }
 
-// DispatchWaiting retries to dispatch the waiting requests. It has to be called
-// regularly, since the end of an endpoint's pause does not cause an event.
+// DispatchWaiting retries to dispatch the waiting requests and moves those whose endpoint
+// has fallen silent. It has to be called regularly, since neither the end of an endpoint's
+// pause nor silence causes an event.
 func (f *Forwarder) DispatchWaiting(now time.Time) {
+	f.moveSilent(now)
 	f.dispatchers.each(func(dp *dispatcher) { dp.retryWaiting(now) })
 }
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -179,7 +179,7 @@
 	long := route("long", resolver.KindStreaming, 2, false)
 	long.Timeout = 3 * time.Second
 	steady := route("steady", resolver.KindStreaming, 2, true)
-	steady.Timeout, steady.GapObjective = 6*time.Second, 200*time.Millisecond
+	steady.Timeout, steady.Patience = 6*time.Second, callerPatience
 	whole := route("whole", resolver.KindSafe, 2, false)
 	whole.Timeout = 3 * time.Second
 	brief := route("brief", resolver.KindSafe, 2, false)
--- a/internal/forwarder/version_bound.go
+++ b/internal/forwarder/version_bound.go
@@ -87,11 +87,11 @@
 // endpoint under load may queue a request for longer than newRequestMargin. It applies
 // to streams only: another answer arrives at the end of the run, so the forwarder
 // cannot tell whether the run has begun. delivery tracks the attempt's arrival.
-func (f *Forwarder) contextUntilBegun(c *call, d balancer.Decision, delivery *exchanger.Delivery, now time.Time) (ctx context.Context, markBegun func()) {
+func (f *Forwarder) contextUntilBegun(parent context.Context, c *call, d balancer.Decision, delivery *exchanger.Delivery, now time.Time) (ctx context.Context, markBegun func()) {
 	if delivery == nil {
-		return c.ctx, func() {}
+		return parent, func() {}
 	}
-	ctx, cancel := context.WithCancelCause(c.ctx)
+	ctx, cancel := context.WithCancelCause(parent)
 	begun := make(chan struct{})
 	go f.watchUntilBegun(c, d, delivery, now, begun, cancel)
 	return ctx, func() { close(begun) }
@@ -126,14 +126,3 @@
 		timer.Reset(wait)
 	}
 }
-
-// notBegunFailure returns the failure of an attempt that was canceled with errNotBegun,
-// and fail for any other attempt.
-func notBegunFailure(ctx context.Context, fail *failure) *failure {
-	if !errors.Is(context.Cause(ctx), errNotBegun) {
-		return fail
-	}
-	// The cancellation says nothing about the endpoint's health. A request that was
-	// sent may have begun just before it.
-	return &failure{result: balancer.ResultCanceled, mayHaveRun: fail.mayHaveRun, sent: fail.sent, cause: errNotBegun}
-}
--- a/pkg/balancer/member.go
+++ b/pkg/balancer/member.go
@@ -22,6 +22,8 @@
 	// ResultRefused means that the endpoint had no free slot or was not the
 	// intended one.
 	ResultRefused
+	// ResultSilent means that the endpoint sent nothing for too long.
+	ResultSilent
 	// ResultCanceled means that the caller disconnected. It does not affect the
 	// health of the endpoint.
 	ResultCanceled
@@ -285,7 +287,7 @@
 		if m.losses++; m.losses >= lossesToPause {
 			m.pause(now)
 		}
-	case ResultUnreachable:
+	case ResultUnreachable, ResultSilent:
 		m.pause(now)
 	case ResultRefused:
 		m.pausedUntil = now.Add(refusedPause)
--- a/pkg/resolver/configuration.go
+++ b/pkg/resolver/configuration.go
@@ -44,6 +44,9 @@
 	Anonymous bool
 	// Resumable streams may continue at another endpoint.
 	Resumable bool
+	// Patience is the time without output after which callers of a stream give up; 0 if
+	// only their deadline counts.
+	Patience time.Duration
 }
 
 // IsRetryable reports whether requests of the route may run more than once.
