A read of the store that does not reach the end of the log confirms nothing

Not reproduced; found by reading: a log read returns at most 1 MB, and a read that ended before the log's end confirmed the last configuration in it as the newest one, by which requests may be denied. The end that the answer tells was not looked at. Whether this was what the users saw is not known.

Now such a read confirms nothing, and the next one follows at once.

--- a/internal/gatewayserver/follower.go
+++ b/internal/gatewayserver/follower.go
@@ -52,6 +52,8 @@
 	next        provider.Position
 	hasSnapshot bool
 	isLost      bool
+	// isBehind is set if the last read returned records, but not the last ones.
+	isBehind bool
 	// isEpochUnknown is set while answers do not tell the store's epoch.
 	isEpochUnknown bool
 	retryPause     time.Duration
@@ -69,7 +71,8 @@
 	snapshot bool
 	// epoch is the store's epoch; 0 if unknown.
 	epoch uint64
-	// startedAt is when the read started; the values are at least as recent.
+	// startedAt is when the read started; the values are at least as recent. It is zero if
+	// the store did not return all values.
 	startedAt time.Time
 }
 
@@ -88,7 +91,9 @@
 			f.onRegained(ctx)
 		}
 		f.retryPause = 0
-		sleeper.Sleep(ctx, f.interval-f.server.cfg.Clock().Sub(startedAt))
+		if !f.isBehind {
+			sleeper.Sleep(ctx, f.interval-f.server.cfg.Clock().Sub(startedAt))
+		}
 	}
 }
 
@@ -98,7 +103,7 @@
 	if !f.hasSnapshot {
 		return f.readSnapshot(startedAt)
 	}
-	values, next, err := f.store.Read(f.next, f.maxWait, storeTimeout)
+	records, err := f.store.Read(f.next, f.maxWait, storeTimeout)
 	f.checkEpoch()
 	var trimmed *platform.TrimmedError
 	var restored *platform.RestoredError
@@ -112,8 +117,13 @@
 	case err != nil:
 		return err
 	}
-	f.next = next
-	return f.apply(storeRead{values: values, epoch: next.Epoch, startedAt: startedAt})
+	f.isBehind = !records.IsComplete() && records.Next != f.next
+	f.next = records.Next
+	if !records.IsComplete() {
+		// Newer values exist, so the read does not confirm these.
+		startedAt = time.Time{}
+	}
+	return f.apply(storeRead{values: records.Values, epoch: records.Next.Epoch, startedAt: startedAt})
 }
 
 // readSnapshot reads the latest value of each key.
