--- a/internal/forwarder/dispatcher.go
+++ b/internal/forwarder/dispatcher.go
@@ -132,6 +132,14 @@
 	dp.notifyWaiters(dp.balancer.UpdateLoad(now, at, endpoint, l, rand.Uint64()))
 }
 
+// updateLimit records the limit that an endpoint named. It returns the one before and
+// whether it differs.
+func (dp *dispatcher) updateLimit(now time.Time, endpoint string, limit float64) (before float64, changed bool) {
+	dp.mu.Lock()
+	defer dp.mu.Unlock()
+	return dp.balancer.UpdateLimit(now, endpoint, limit, rand.Uint64())
+}
+
 func (dp *dispatcher) retryWaiting(now time.Time) {
 	dp.mu.Lock()
 	defer dp.mu.Unlock()
--- a/internal/forwarder/translator.go
+++ b/internal/forwarder/translator.go
@@ -51,6 +51,9 @@
 	Running int
 	Queued  int
 	HasLoad bool
+	// Limit is the number of requests per second that the endpoint accepts from all entries
+	// together; 0 for no limit.
+	Limit float64
 }
 
 // Translator converts between the platform's headers and the forwarder's types.
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -105,6 +105,19 @@
 	return b.startWaiting(now)
 }
 
+// UpdateLimit records the limit, in requests per second of all processes together, that an
+// endpoint named in an answer; 0 for none. random spreads the processes over time. It
+// returns the limit before and whether it differs.
+func (b *Balancer) UpdateLimit(now time.Time, endpointID string, limit float64, random uint64) (before float64, changed bool) {
+	m := b.members[endpointID]
+	if m == nil {
+		return 0, false
+	}
+	before = m.limit
+	m.limit = limit
+	return before, before != limit
+}
+
 // Offer starts, queues or refuses a request. A queued request is returned by a later
 // call of another method, unless Abandon removes it first.
 func (b *Balancer) Offer(now time.Time, r Request) Decision {
--- a/pkg/balancer/member.go
+++ b/pkg/balancer/member.go
@@ -110,6 +110,10 @@
 	// unknown.
 	receivers int
 
+	// limit is the number of requests per second that the endpoint accepts from all
+	// processes together; 0 for no limit.
+	limit float64
+
 	// failures, losses and pauses are counted since the last answer. A failure also
 	// resets losses, and a pause resets failures and losses.
 	failures    int
