Keep the limits that endpoints name

Cause: the header was new and nothing read it. Entries agree on nothing, so each keeps a share of the limit by the endpoint's home (pkg/limiter), spaced, without saving up. Where all endpoints of a service are at their limits, requests are refused at once with the time until one is not.

Ruled out: that entries read it late, or each kept all of it (no code had the header's name; the requests a second did not change when it was named).

TestEndpointGetsNoMoreThanItsLimit: 11 of 13 cases failed before, and TestRefusedAtOnceIfAllEndpointsAreLimited.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -18,6 +18,8 @@
 import (
 	"slices"
 	"time"
+
+	"flamingoledge.org/flamingoledge/pkg/limiter"
 )
 
 // Config configures a Balancer.
@@ -40,6 +42,10 @@
 	// durationSmoothing is the weight of a new sample in the moving average of the
 	// request duration.
 	durationSmoothing = 0.05
+	// discoveryTime is the time after its start in which a process may not know all other
+	// senders yet. It then assumes that there are at least minLimitSenders.
+	discoveryTime   = 5 * time.Second
+	minLimitSenders = 5
 )
 
 // Balancer holds the endpoints and queued requests of one service. It is not safe
@@ -50,6 +56,11 @@
 	memberList []*member
 	// waiting holds the queued requests in the order of startsBefore.
 	waiting []Request
+	// createdAt is the time of the first call of SetEndpoints.
+	createdAt time.Time
+	// maxSenders is the highest number of senders so far. The missing ones may only be
+	// unreachable from here, and still send to the endpoints.
+	maxSenders int
 	// startedAt holds the start times of in-flight requests, by request ID.
 	startedAt map[uint64]time.Time
 	// meanDuration is the moving average of the time from start to end.
@@ -58,7 +69,7 @@
 
 // New returns a balancer without endpoints.
 func New(cfg Config) *Balancer {
-	return &Balancer{cfg: cfg, members: map[string]*member{}, startedAt: map[uint64]time.Time{}}
+	return &Balancer{cfg: cfg, maxSenders: cfg.Senders, members: map[string]*member{}, startedAt: map[uint64]time.Time{}}
 }
 
 // Waiting returns the number of queued requests.
@@ -69,12 +80,18 @@
 func (b *Balancer) InFlight() int { return len(b.startedAt) }
 
 // SetSenders sets the number of processes that send to the endpoints.
-func (b *Balancer) SetSenders(n int) { b.cfg.Senders = max(n, 1) }
+func (b *Balancer) SetSenders(n int) {
+	b.cfg.Senders = max(n, 1)
+	b.maxSenders = max(b.maxSenders, n)
+}
 
 // SetEndpoints replaces the list of endpoints. An endpoint that is still listed
 // keeps its reported load and its health unless its address has changed. SetEndpoints
 // returns the queued requests that start now.
 func (b *Balancer) SetEndpoints(now time.Time, endpoints []Endpoint) []Decision {
+	if b.createdAt.IsZero() {
+		b.createdAt = now
+	}
 	current := make(map[string]*member, len(endpoints))
 	b.memberList = b.memberList[:0]
 	for _, e := range endpoints {
@@ -113,11 +130,27 @@
 	if m == nil {
 		return 0, false
 	}
-	before = m.limit
-	m.limit = limit
+	before = m.limit.PerSecond()
+	m.limit = m.limit.WithRate(now, limit, b.limitShare(now, m), float64(random>>11)/(1<<53))
 	return before, before != limit
 }
 
+// limitShare returns the share that this process has of an endpoint's limit.
+func (b *Balancer) limitShare(now time.Time, m *member) float64 {
+	senders := b.maxSenders
+	if now.Sub(b.createdAt) < discoveryTime {
+		senders = max(senders, minLimitSenders)
+	}
+	switch m.Home {
+	case HomeLocal:
+		return limiter.HomeShare()
+	case HomeRemote:
+		return limiter.RemoteShare(senders)
+	default:
+		return limiter.EvenShare(senders)
+	}
+}
+
 // Offer starts, queues or refuses a request. A queued request is returned by a later
 // call of another method, unless Abandon removes it first.
 func (b *Balancer) Offer(now time.Time, r Request) Decision {
@@ -128,7 +161,7 @@
 		return b.start(now, r, m)
 	}
 	if !b.hasCandidate(now, r) {
-		return Decision{ID: r.ID, Outcome: OutcomeNoEndpoint, RetryAfter: b.retryAfter()}
+		return Decision{ID: r.ID, Outcome: OutcomeNoEndpoint, RetryAfter: max(b.retryAfter(), b.limitWait(now, r))}
 	}
 	return b.enqueue(now, r)
 }
@@ -202,6 +235,7 @@
 		Load: m.load(now, b.cfg.Senders), LoadAge: now.Sub(m.reportedAt), Waiting: len(b.waiting),
 	}
 	m.recordStart(now, r)
+	m.limit = m.limit.WithStart(now, b.limitShare(now, m))
 	b.startedAt[r.ID] = now
 	return d
 }
--- a/pkg/balancer/member.go
+++ b/pkg/balancer/member.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"flamingoledge.org/flamingoledge/pkg/limiter"
 )
 
 // Result describes how a request ended at an endpoint.
@@ -110,9 +112,8 @@
 	// unknown.
 	receivers int
 
-	// limit is the number of requests per second that the endpoint accepts from all
-	// processes together; 0 for no limit.
-	limit float64
+	// limit spaces the starts at an endpoint that limits the requests of all processes.
+	limit limiter.Limit
 
 	// failures, losses and pauses are counted since the last answer. A failure also
 	// resets losses, and a pause resets failures and losses.
--- a/pkg/balancer/pick.go
+++ b/pkg/balancer/pick.go
@@ -10,13 +10,30 @@
 // StartBy time.
 func (b *Balancer) hasCandidate(now time.Time, r Request) bool {
 	for _, m := range b.memberList {
-		if m.canRun(r) && (r.StartBy.After(m.pausedUntil) || now.After(m.pausedUntil)) {
+		if m.canRun(r) && (r.StartBy.After(m.pausedUntil) || now.After(m.pausedUntil)) && r.StartBy.After(m.limit.NextAt()) {
 			return true
 		}
 	}
 	return false
 }
 
+// limitWait returns the time until the first of the eligible endpoints may get a request, if
+// the limits of all of them are used up, and a random part of it more, so that the refused
+// requests don't all return at once. It is 0 if there is one without a limit.
+func (b *Balancer) limitWait(now time.Time, r Request) time.Duration {
+	shortest := time.Duration(-1)
+	for _, m := range b.memberList {
+		if !m.canRun(r) {
+			continue
+		}
+		if wait := max(m.limit.NextAt().Sub(now), 0); shortest < 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	spread := float64(r.Random>>11) / (1 << 53)
+	return max(shortest+time.Duration(spread*float64(shortest)), 0)
+}
+
 // pickPaused returns the idle endpoint whose pause ends first if all eligible
 // endpoints are paused after failures. When all fail, the cause is more likely the
 // network of this process or a fault that has passed. Each paused endpoint gets one
@@ -27,7 +44,7 @@
 		case !m.canRun(r):
 		case !m.isOnProbation() || !now.Before(m.pausedUntil):
 			return nil
-		case m.localRequests == 0 && (earliest == nil || m.pausedUntil.Before(earliest.pausedUntil)):
+		case m.localRequests == 0 && !now.Before(m.limit.NextAt()) && (earliest == nil || m.pausedUntil.Before(earliest.pausedUntil)):
 			earliest = m
 		}
 	}
@@ -74,7 +91,7 @@
 // isAvailable reports whether an endpoint can run the request now: it is healthy and has a
 // free slot for it.
 func (b *Balancer) isAvailable(now time.Time, m *member, r Request) bool {
-	if !m.canRun(r) || now.Before(m.pausedUntil) || (m.isOnProbation() && m.localRequests > 0) || m.isStuck(now) {
+	if !m.canRun(r) || now.Before(m.pausedUntil) || now.Before(m.limit.NextAt()) || (m.isOnProbation() && m.localRequests > 0) || m.isStuck(now) {
 		return false
 	}
 	return m.canAccept(now, b.cfg.Senders) && b.leavesSlots(now, m, r)
