An endpoint that says in an answer that it is leaving gets no more requests

The word was not read; entries went by the list alone, which lags and can't be read in an outage.

The word holds for the incarnation of the endpoint: neither a later answer, nor an older list, a lapse of the list or another address undoes it; a new id or a new start does. A request that no endpoint can run is refused at once also while others are queued.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -8,10 +8,7 @@
 	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-
 	"flamingoledge.org/flamingoledge/internal/exchanger"
-	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/pkg/balancer"
 	"flamingoledge.org/flamingoledge/pkg/resolver"
 	"flamingoledge.org/flamingoledge/pkg/retrier"
@@ -123,7 +120,7 @@
 		now := f.cfg.Clock()
 		a.dispatcher.updateLoad(now, now, a.endpoint.ID, balancer.Load{Running: info.Running, Queued: info.Queued})
 	}
-	f.recordLimit(a, info.Limit)
+	f.recordAdvice(a, info.Advice)
 	status := a.answer.Status
 	switch {
 	case info.NotRun && status >= http.StatusBadRequest:
@@ -146,17 +143,6 @@
 	}
 }
 
-// recordLimit records the limit that an endpoint named in an answer, and logs changes.
-func (f *Forwarder) recordLimit(a *attempt, limit float64) {
-	before, changed := a.dispatcher.updateLimit(f.cfg.Clock(), a.endpoint.ID, limit)
-	if !changed {
-		return
-	}
-	f.cfg.Metrics.Add("endpoint_limits_changed", 1)
-	logger.Log(f.cfg.Logger, logger.EndpointLimited, zap.String("endpoint", a.endpoint.ID), zap.String("request_id", a.call.RequestID),
-		zap.Float64("limit", limit), zap.Float64("before", before))
-}
-
 // bufferAnswer reads an answer completely before it is forwarded. A safe request that
 // failed on the endpoint is retried if the retry budget allows it.
 func (f *Forwarder) bufferAnswer(c *call, a *attempt) *failure {
--- a/internal/forwarder/dispatcher.go
+++ b/internal/forwarder/dispatcher.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"flamingoledge.org/flamingoledge/pkg/advisor"
 	"flamingoledge.org/flamingoledge/pkg/balancer"
 )
 
@@ -132,12 +133,12 @@
 	dp.notifyWaiters(dp.balancer.UpdateLoad(now, at, endpoint, l, rand.Uint64()))
 }
 
-// updateLimit records the limit that an endpoint named. It returns the one before and
-// whether it differs.
-func (dp *dispatcher) updateLimit(now time.Time, endpoint string, limit float64) (before float64, changed bool) {
+// recordAnswer records what an endpoint says in an answer. It returns the advice before and
+// after.
+func (dp *dispatcher) recordAnswer(now time.Time, endpoint string, answer advisor.Answer) (before, after advisor.Advice) {
 	dp.mu.Lock()
 	defer dp.mu.Unlock()
-	return dp.balancer.UpdateLimit(now, endpoint, limit, rand.Uint64())
+	return dp.balancer.RecordAnswer(now, endpoint, answer, rand.Uint64())
 }
 
 func (dp *dispatcher) retryWaiting(now time.Time) {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -21,6 +21,7 @@
 
 	"flamingoledge.org/flamingoledge/internal/exchanger"
 	"flamingoledge.org/flamingoledge/internal/forwarder"
+	"flamingoledge.org/flamingoledge/pkg/advisor"
 	"flamingoledge.org/flamingoledge/pkg/balancer"
 	"flamingoledge.org/flamingoledge/pkg/resolver"
 )
@@ -49,7 +50,10 @@
 }
 
 func (testTranslator) ResponseInfo(_ int, h http.Header) forwarder.ResponseInfo {
-	return forwarder.ResponseInfo{RequestID: h.Get("Id"), Signed: h.Get("Stamp") != "", NotRun: h.Get("Not-Run") != ""}
+	return forwarder.ResponseInfo{
+		RequestID: h.Get("Id"), Signed: h.Get("Stamp") != "", NotRun: h.Get("Not-Run") != "",
+		Advice: advisor.Answer{Leaving: h.Get("Leaving") != ""},
+	}
 }
 
 // endpoint is a simulated endpoint that counts the requests it ran.
--- a/internal/forwarder/translator.go
+++ b/internal/forwarder/translator.go
@@ -7,6 +7,8 @@
 import (
 	"net/http"
 	"time"
+
+	"flamingoledge.org/flamingoledge/pkg/advisor"
 )
 
 // RequestInfo holds the values decoded from a request's headers.
@@ -51,9 +53,8 @@
 	Running int
 	Queued  int
 	HasLoad bool
-	// Limit is the number of requests per second that the endpoint accepts from all entries
-	// together; 0 for no limit.
-	Limit float64
+	// Advice is what the answer says about the requests that the endpoint accepts.
+	Advice advisor.Answer
 }
 
 // Translator converts between the platform's headers and the forwarder's types.
--- a/internal/gatewayserver/endpoints.go
+++ b/internal/gatewayserver/endpoints.go
@@ -226,7 +226,7 @@
 			continue
 		}
 		b := balancer.Endpoint{
-			ID: e.ID, Address: e.Address, Region: regions[e.AvailabilityZone], Slots: e.Slots, Ready: !e.Draining,
+			ID: e.ID, Address: e.Address, Region: regions[e.AvailabilityZone], Slots: e.Slots, Ready: !e.Draining, Born: e.Born,
 		}
 		if service.Engine != nil {
 			var switching bool
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -88,6 +88,8 @@
 		"An entry of the endpoint list can't be decoded and is ignored. The others are used.")
 	EndpointChanged = register(2109, "endpoint_changed", zapcore.InfoLevel,
 		"A sidecar reported another version, a restart or a version switch of its endpoint.")
+	EndpointLeaving = register(2115, "endpoint_leaving", zapcore.InfoLevel,
+		"An endpoint said in an answer that it is leaving. It gets no more requests from this entry until it starts anew, whatever the list says.")
 	EndpointLimited = register(2114, "endpoint_limited", zapcore.InfoLevel,
 		"An endpoint changed its limit: how many requests per second it accepts from all entries together. `limit` is 0 if it names none any more; `before` is the earlier one.")
 	PeerFound = register(2110, "peer_found", zapcore.InfoLevel,
--- /dev/null
+++ b/pkg/advisor/advisor.go
@@ -0,0 +1,59 @@
+// Package advisor keeps what an endpoint has said in its answers about the requests that it
+// accepts: that it is leaving, and how many requests it accepts from all entries together.
+//
+// The load that determines the design is an endpoint in need, or about to stop, while the
+// list of endpoints still names it as ready: the list lags, can't be read during an outage,
+// or is restored from an older copy. Only the endpoint's own word is certain, so no list
+// undoes it, and it holds until the endpoint starts anew.
+package advisor
+
+import (
+	"time"
+
+	"flamingoledge.org/flamingoledge/pkg/limiter"
+)
+
+// Answer is what one answer of an endpoint says. The zero value says nothing.
+type Answer struct {
+	// Leaving is set if the endpoint accepts no new requests any more.
+	Leaving bool
+	// Limit is the number of requests per second that the endpoint accepts from all entries
+	// together; 0 for no limit.
+	Limit float64
+}
+
+// Advice is what an endpoint has said so far. It is immutable. The zero value stands for an
+// endpoint that has said nothing.
+type Advice struct {
+	leaving bool
+	limit   limiter.Limit
+}
+
+// Leaving returns the advice of an endpoint that has said that it is leaving.
+func Leaving() Advice { return Advice{leaving: true} }
+
+// IsLeaving reports whether the endpoint has said that it is leaving.
+func (a Advice) IsLeaving() bool { return a.leaving }
+
+// Limit returns the endpoint's limit in requests per second; 0 for none.
+func (a Advice) Limit() float64 { return a.limit.PerSecond() }
+
+// NextAt returns the earliest time at which the endpoint accepts another request of this
+// entry, unless it is leaving.
+func (a Advice) NextAt() time.Time { return a.limit.NextAt() }
+
+// WithAnswer returns the advice after an answer of the endpoint. share is this entry's share
+// of the endpoint's limit. random, between 0 and 1, spreads the first requests of the
+// entries.
+func (a Advice) WithAnswer(now time.Time, answer Answer, share, random float64) Advice {
+	// Answers may overtake each other, so one that doesn't say so is no return.
+	a.leaving = a.leaving || answer.Leaving
+	a.limit = a.limit.WithRate(now, answer.Limit, share, random)
+	return a
+}
+
+// WithStart returns the advice after this entry started a request at the endpoint.
+func (a Advice) WithStart(now time.Time, share float64) Advice {
+	a.limit = a.limit.WithStart(now, share)
+	return a
+}
--- /dev/null
+++ b/pkg/balancer/advice_test.go
@@ -0,0 +1,89 @@
+package balancer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/pkg/advisor"
+	"flamingoledge.org/flamingoledge/pkg/balancer"
+)
+
+// TestLeavingEndpointGetsNoRequests guards against requests to an endpoint that has said in
+// an answer that it is leaving, whatever the list of endpoints says later.
+func TestLeavingEndpointGetsNoRequests(t *testing.T) {
+	leaving := func(b *balancer.Balancer) { b.RecordAnswer(at(1), "a", advisor.Answer{Leaving: true}, 0) }
+	list := func(ms int, change func(e *balancer.Endpoint)) func(b *balancer.Balancer) {
+		return func(b *balancer.Balancer) {
+			es := endpoints(2, 8)
+			change(&es[0])
+			b.SetEndpoints(at(ms), es)
+		}
+	}
+	same := func(*balancer.Endpoint) {}
+	tests := map[string]struct {
+		before []func(b *balancer.Balancer)
+		want   map[string]bool
+	}{
+		"nothing said":           {want: map[string]bool{"a": true, "b": true}},
+		"cut off from the store": {before: []func(b *balancer.Balancer){leaving}, want: map[string]bool{"b": true}},
+		"older list":             {before: []func(b *balancer.Balancer){leaving, list(5, same)}, want: map[string]bool{"b": true}},
+		"later answer without the word": {
+			before: []func(b *balancer.Balancer){leaving, func(b *balancer.Balancer) { b.RecordAnswer(at(5), "a", advisor.Answer{}, 0) }},
+			want:   map[string]bool{"b": true},
+		},
+		"gone from the list and back": {
+			before: []func(b *balancer.Balancer){leaving, func(b *balancer.Balancer) { b.SetEndpoints(at(3), endpoints(2, 8)[1:]) }, list(5, same)},
+			want:   map[string]bool{"b": true},
+		},
+		"moved to another address": {
+			before: []func(b *balancer.Balancer){leaving, list(5, func(e *balancer.Endpoint) { e.Address = "x" })},
+			want:   map[string]bool{"b": true},
+		},
+		"same address, new endpoint": {
+			before: []func(b *balancer.Balancer){leaving, list(5, func(e *balancer.Endpoint) { e.ID = "c" })},
+			want:   map[string]bool{"b": true, "c": true},
+		},
+		"started again under its ID": {
+			before: []func(b *balancer.Balancer){leaving, list(5, func(e *balancer.Endpoint) { e.Born = 7 })},
+			want:   map[string]bool{"a": true, "b": true},
+		},
+		"gone, and started again under its ID": {
+			before: []func(b *balancer.Balancer){
+				leaving, func(b *balancer.Balancer) { b.SetEndpoints(at(3), endpoints(2, 8)[1:]) }, list(5, func(e *balancer.Endpoint) { e.Born = 7 }),
+			},
+			want: map[string]bool{"a": true, "b": true},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(endpoints(2, 8))
+			for _, step := range tt.before {
+				step(b)
+			}
+			got := map[string]bool{}
+			for i := range uint64(8) {
+				d := b.Offer(at(10), request(i, at(10)))
+				if d.Outcome == balancer.OutcomeStarted {
+					got[d.Endpoint.ID] = true
+				}
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+// TestQueuedRequestSkipsLeavingEndpoint checks that a request that waits for an endpoint does
+// not start there after the endpoint has said that it is leaving.
+func TestQueuedRequestSkipsLeavingEndpoint(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(endpoints(1, 1))
+	is.Equal(b.Offer(at(1), request(1, at(1))).Outcome, balancer.OutcomeStarted)
+	is.Equal(b.Offer(at(2), request(2, at(2))).Outcome, balancer.OutcomeQueued)
+	b.RecordAnswer(at(3), "a", advisor.Answer{Leaving: true}, 0)
+	is.Equal(len(b.RecordEnd(at(4), "a", 1, balancer.ResultAnswered)), 0)
+	is.Equal(b.Offer(at(5), request(3, at(5))).Outcome, balancer.OutcomeNoEndpoint) // at once
+	is.Equal(len(b.Expire(at(2).Add(time.Second))), 1)
+}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -19,6 +19,7 @@
 	"slices"
 	"time"
 
+	"flamingoledge.org/flamingoledge/pkg/advisor"
 	"flamingoledge.org/flamingoledge/pkg/limiter"
 )
 
@@ -56,6 +57,8 @@
 	memberList []*member
 	// waiting holds the queued requests in the order of startsBefore.
 	waiting []Request
+	// departed holds the endpoints that were leaving when they were removed from the list.
+	departed departedEndpoints
 	// createdAt is the time of the first call of SetEndpoints.
 	createdAt time.Time
 	// maxSenders is the highest number of senders so far. The missing ones may only be
@@ -69,7 +72,7 @@
 
 // New returns a balancer without endpoints.
 func New(cfg Config) *Balancer {
-	return &Balancer{cfg: cfg, maxSenders: cfg.Senders, members: map[string]*member{}, startedAt: map[uint64]time.Time{}}
+	return &Balancer{cfg: cfg, maxSenders: cfg.Senders, members: map[string]*member{}, departed: departedEndpoints{}, startedAt: map[uint64]time.Time{}}
 }
 
 // Waiting returns the number of queued requests.
@@ -97,15 +100,17 @@
 	for _, e := range endpoints {
 		m := b.members[e.ID]
 		if m == nil {
-			m = &member{}
+			m = &member{Endpoint: e, advice: b.departed.advice(e)}
 		}
-		if m.Address != e.Address {
-			m.reset()
-		}
-		m.Endpoint = e
+		m.update(e)
 		current[e.ID] = m
 		b.memberList = append(b.memberList, m)
 	}
+	for id, m := range b.members {
+		if current[id] == nil {
+			b.departed.add(now, m)
+		}
+	}
 	b.members = current
 	return b.startWaiting(now)
 }
@@ -122,17 +127,16 @@
 	return b.startWaiting(now)
 }
 
-// UpdateLimit records the limit, in requests per second of all processes together, that an
-// endpoint named in an answer; 0 for none. random spreads the processes over time. It
-// returns the limit before and whether it differs.
-func (b *Balancer) UpdateLimit(now time.Time, endpointID string, limit float64, random uint64) (before float64, changed bool) {
+// RecordAnswer records what an endpoint says in an answer. random spreads the processes over
+// time. It returns the advice before and after.
+func (b *Balancer) RecordAnswer(now time.Time, endpointID string, answer advisor.Answer, random uint64) (before, after advisor.Advice) {
 	m := b.members[endpointID]
 	if m == nil {
-		return 0, false
+		return before, after
 	}
-	before = m.limit.PerSecond()
-	m.limit = m.limit.WithRate(now, limit, b.limitShare(now, m), float64(random>>11)/(1<<53))
-	return before, before != limit
+	before = m.advice
+	m.advice = m.advice.WithAnswer(now, answer, b.limitShare(now, m), float64(random>>11)/(1<<53))
+	return before, m.advice
 }
 
 // limitShare returns the share that this process has of an endpoint's limit.
@@ -154,11 +158,11 @@
 // Offer starts, queues or refuses a request. A queued request is returned by a later
 // call of another method, unless Abandon removes it first.
 func (b *Balancer) Offer(now time.Time, r Request) Decision {
-	if b.mustQueue(r) {
-		return b.enqueue(now, r)
-	}
-	if m := b.pick(now, r); m != nil {
-		return b.start(now, r, m)
+	mustQueue := b.mustQueue(r)
+	if !mustQueue {
+		if m := b.pick(now, r); m != nil {
+			return b.start(now, r, m)
+		}
 	}
 	if !b.hasCandidate(now, r) {
 		return Decision{ID: r.ID, Outcome: OutcomeNoEndpoint, RetryAfter: max(b.retryAfter(), b.limitWait(now, r))}
@@ -235,7 +239,7 @@
 		Load: m.load(now, b.cfg.Senders), LoadAge: now.Sub(m.reportedAt), Waiting: len(b.waiting),
 	}
 	m.recordStart(now, r)
-	m.limit = m.limit.WithStart(now, b.limitShare(now, m))
+	m.advice = m.advice.WithStart(now, b.limitShare(now, m))
 	b.startedAt[r.ID] = now
 	return d
 }
--- a/pkg/balancer/limit_test.go
+++ b/pkg/balancer/limit_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"flamingoledge.org/flamingoledge/pkg/advisor"
 	"flamingoledge.org/flamingoledge/pkg/balancer"
 )
 
@@ -118,7 +119,7 @@
 			}
 			bs[o.entry].RecordFirstOutput(t, o.endpoint, o.id)
 			if now >= limitedFrom && (o.endpoint == "a" || lr.all) {
-				bs[o.entry].UpdateLimit(t, o.endpoint, lr.limit, rng.Uint64())
+				bs[o.entry].RecordAnswer(t, o.endpoint, advisor.Answer{Limit: lr.limit}, rng.Uint64())
 				if told[o.entry] == 0 {
 					told[o.entry] = now
 				}
@@ -198,7 +199,7 @@
 	is := is.New(t)
 	b := newBalancer(endpoints(2, 8))
 	for i, id := range []string{"a", "b"} {
-		b.UpdateLimit(at(i), id, 0.5, 0)
+		b.RecordAnswer(at(i), id, advisor.Answer{Limit: 0.5}, 0)
 	}
 	ids := map[string]bool{}
 	for i := range uint64(2) {
@@ -211,6 +212,6 @@
 	is.Equal(d.Outcome, balancer.OutcomeNoEndpoint)
 	is.True(d.RetryAfter > time.Second)
 	// Without a limit in the next answer, requests start again.
-	b.UpdateLimit(at(20), "a", 0, 0)
+	b.RecordAnswer(at(20), "a", advisor.Answer{}, 0)
 	is.Equal(b.Offer(at(21), request(4, at(21))).Endpoint.ID, "a")
 }
--- a/pkg/balancer/member.go
+++ b/pkg/balancer/member.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"flamingoledge.org/flamingoledge/pkg/limiter"
+	"flamingoledge.org/flamingoledge/pkg/advisor"
 )
 
 // Result describes how a request ended at an endpoint.
@@ -112,8 +112,8 @@
 	// unknown.
 	receivers int
 
-	// limit spaces the starts at an endpoint that limits the requests of all processes.
-	limit limiter.Limit
+	// advice is what the endpoint has said in its answers.
+	advice advisor.Advice
 
 	// failures, losses and pauses are counted since the last answer. A failure also
 	// resets losses, and a pause resets failures and losses.
@@ -133,10 +133,23 @@
 	prefillTime      time.Duration
 }
 
-// reset discards everything except the number of in-flight requests. It is called after
-// a restart of the endpoint.
+// update replaces the description of the endpoint. What it has said holds until it starts
+// anew; a list that is older than the known incarnation does not undo that.
+func (m *member) update(e Endpoint) {
+	if m.Address != e.Address {
+		m.reset()
+	}
+	if e.Born > m.Born {
+		m.advice = advisor.Advice{}
+	}
+	e.Born = max(e.Born, m.Born)
+	m.Endpoint = e
+}
+
+// reset discards the load and the health of an endpoint that has moved, but not the number of
+// in-flight requests and what the endpoint has said.
 func (m *member) reset() {
-	*m = member{localRequests: m.localRequests}
+	*m = member{Endpoint: m.Endpoint, localRequests: m.localRequests, advice: m.advice}
 }
 
 // updateLoad records a load measured at measuredAt, which does not include requests
@@ -313,5 +326,5 @@
 
 // canRun reports whether the endpoint is ready and eligible for a request.
 func (m *member) canRun(r Request) bool {
-	return m.Ready && (r.Version == 0 || m.Version == r.Version) && m.Version >= r.MinVersion && !slices.Contains(r.Exclude, m.ID)
+	return m.Ready && !m.advice.IsLeaving() && (r.Version == 0 || m.Version == r.Version) && m.Version >= r.MinVersion && !slices.Contains(r.Exclude, m.ID)
 }
--- a/pkg/balancer/pick.go
+++ b/pkg/balancer/pick.go
@@ -10,7 +10,7 @@
 // StartBy time.
 func (b *Balancer) hasCandidate(now time.Time, r Request) bool {
 	for _, m := range b.memberList {
-		if m.canRun(r) && (r.StartBy.After(m.pausedUntil) || now.After(m.pausedUntil)) && r.StartBy.After(m.limit.NextAt()) {
+		if m.canRun(r) && (r.StartBy.After(m.pausedUntil) || now.After(m.pausedUntil)) && r.StartBy.After(m.advice.NextAt()) {
 			return true
 		}
 	}
@@ -26,7 +26,7 @@
 		if !m.canRun(r) {
 			continue
 		}
-		if wait := max(m.limit.NextAt().Sub(now), 0); shortest < 0 || wait < shortest {
+		if wait := max(m.advice.NextAt().Sub(now), 0); shortest < 0 || wait < shortest {
 			shortest = wait
 		}
 	}
@@ -44,7 +44,7 @@
 		case !m.canRun(r):
 		case !m.isOnProbation() || !now.Before(m.pausedUntil):
 			return nil
-		case m.localRequests == 0 && !now.Before(m.limit.NextAt()) && (earliest == nil || m.pausedUntil.Before(earliest.pausedUntil)):
+		case m.localRequests == 0 && !now.Before(m.advice.NextAt()) && (earliest == nil || m.pausedUntil.Before(earliest.pausedUntil)):
 			earliest = m
 		}
 	}
@@ -91,7 +91,7 @@
 // isAvailable reports whether an endpoint can run the request now: it is healthy and has a
 // free slot for it.
 func (b *Balancer) isAvailable(now time.Time, m *member, r Request) bool {
-	if !m.canRun(r) || now.Before(m.pausedUntil) || now.Before(m.limit.NextAt()) || (m.isOnProbation() && m.localRequests > 0) || m.isStuck(now) {
+	if !m.canRun(r) || now.Before(m.pausedUntil) || now.Before(m.advice.NextAt()) || (m.isOnProbation() && m.localRequests > 0) || m.isStuck(now) {
 		return false
 	}
 	return m.canAccept(now, b.cfg.Senders) && b.leavesSlots(now, m, r)
--- a/pkg/balancer/request.go
+++ b/pkg/balancer/request.go
@@ -25,6 +25,8 @@
 	// Ready is set if the endpoint accepts new requests: it is not draining and has
 	// loaded what the service needs.
 	Ready bool
+	// Born identifies the incarnation of the endpoint: it grows with each start.
+	Born int64
 	// Version is the loaded version; 0 if the service has no versions.
 	Version uint64
 	// Unreported is set if the endpoint's load is not reported to this process. It gets
