An endpoint that wants no requests for a while gets none

The header was not read: such an endpoint was skipped for 100 ms like any full one.

The time is part of what the endpoint has said (pkg/advisor): the latest end counts, a new start of the endpoint ends it, and it counts neither as a failure nor for a pause. Where all endpoints rest, requests are refused at once with the time at which the first wants some, spread over the callers. Implausible headers are ignored and logged once per endpoint and minute.

TestRestingEndpointIsLeftAlone (4 of 6 cases) and TestRefusedAtOnceIfAllEndpointsRest failed before the change.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -120,7 +120,7 @@
 		now := f.cfg.Clock()
 		a.dispatcher.updateLoad(now, now, a.endpoint.ID, balancer.Load{Running: info.Running, Queued: info.Queued})
 	}
-	f.recordAdvice(a, info.Advice)
+	f.recordAdvice(a, info)
 	status := a.answer.Status
 	switch {
 	case info.NotRun && status >= http.StatusBadRequest:
@@ -128,7 +128,11 @@
 	case impliesNotRun(status):
 		// Callers would take the status as a guarantee that the request has not run,
 		// but the endpoint does not confirm that.
-		return &failure{result: balancer.ResultFailed, sent: true, mayHaveRun: true, cause: fmt.Errorf("endpoint failed with status %d", status)}
+		result := balancer.ResultFailed
+		if info.Advice.Rest > 0 {
+			result = balancer.ResultRefused
+		}
+		return &failure{result: result, sent: true, mayHaveRun: true, cause: fmt.Errorf("endpoint failed with status %d", status)}
 	case isSuccess(status) && !info.Signed:
 		return &failure{result: balancer.ResultFailed, sent: true, mayHaveRun: true, cause: errors.New("the answer is not signed")}
 	case isSuccess(status) && c.isStream():
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -95,6 +95,7 @@
 	firstByteEstimator firstByteEstimator
 	deliveryDelays     deliveryDelays
 	silence            silenceWatch
+	adviceProblems     adviceProblems
 
 	inFlight   atomic.Int64
 	draining   atomic.Bool
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -50,9 +50,10 @@
 }
 
 func (testTranslator) ResponseInfo(_ int, h http.Header) forwarder.ResponseInfo {
+	rest, _ := time.ParseDuration(h.Get("Rest"))
 	return forwarder.ResponseInfo{
 		RequestID: h.Get("Id"), Signed: h.Get("Stamp") != "", NotRun: h.Get("Not-Run") != "",
-		Advice: advisor.Answer{Leaving: h.Get("Leaving") != ""},
+		Advice: advisor.Answer{Leaving: h.Get("Leaving") != "", Rest: rest}, AdviceProblem: h.Get("Unreadable"),
 	}
 }
 
--- a/internal/forwarder/translator.go
+++ b/internal/forwarder/translator.go
@@ -55,6 +55,9 @@
 	HasLoad bool
 	// Advice is what the answer says about the requests that the endpoint accepts.
 	Advice advisor.Answer
+	// AdviceProblem names a header of Advice that is not plausible and was ignored; empty if
+	// there is none.
+	AdviceProblem string
 }
 
 // Translator converts between the platform's headers and the forwarder's types.
--- a/pkg/advisor/advisor.go
+++ b/pkg/advisor/advisor.go
@@ -1,5 +1,6 @@
 // Package advisor keeps what an endpoint has said in its answers about the requests that it
-// accepts: that it is leaving, and how many requests it accepts from all entries together.
+// accepts: that it is leaving, that it wants none for a while, and how many it accepts from
+// all entries together.
 //
 // The load that determines the design is an endpoint in need, or about to stop, while the
 // list of endpoints still names it as ready: the list lags, can't be read during an outage,
@@ -17,6 +18,9 @@
 type Answer struct {
 	// Leaving is set if the endpoint accepts no new requests any more.
 	Leaving bool
+	// Rest is how long the endpoint wants no requests of this entry; 0 if it says nothing
+	// about that.
+	Rest time.Duration
 	// Limit is the number of requests per second that the endpoint accepts from all entries
 	// together; 0 for no limit.
 	Limit float64
@@ -25,8 +29,9 @@
 // Advice is what an endpoint has said so far. It is immutable. The zero value stands for an
 // endpoint that has said nothing.
 type Advice struct {
-	leaving bool
-	limit   limiter.Limit
+	leaving   bool
+	restUntil time.Time
+	limit     limiter.Limit
 }
 
 // Leaving returns the advice of an endpoint that has said that it is leaving.
@@ -40,7 +45,15 @@
 
 // NextAt returns the earliest time at which the endpoint accepts another request of this
 // entry, unless it is leaving.
-func (a Advice) NextAt() time.Time { return a.limit.NextAt() }
+func (a Advice) NextAt() time.Time {
+	if next := a.limit.NextAt(); next.After(a.restUntil) {
+		return next
+	}
+	return a.restUntil
+}
+
+// IsResting reports whether the endpoint wants no requests of this entry for a while.
+func (a Advice) IsResting(now time.Time) bool { return now.Before(a.restUntil) }
 
 // WithAnswer returns the advice after an answer of the endpoint. share is this entry's share
 // of the endpoint's limit. random, between 0 and 1, spreads the first requests of the
@@ -48,6 +61,9 @@
 func (a Advice) WithAnswer(now time.Time, answer Answer, share, random float64) Advice {
 	// Answers may overtake each other, so one that doesn't say so is no return.
 	a.leaving = a.leaving || answer.Leaving
+	if until := now.Add(answer.Rest); answer.Rest > 0 && until.After(a.restUntil) {
+		a.restUntil = until
+	}
 	a.limit = a.limit.WithRate(now, answer.Limit, share, random)
 	return a
 }
--- a/pkg/balancer/advice_test.go
+++ b/pkg/balancer/advice_test.go
@@ -87,3 +87,81 @@
 	is.Equal(b.Offer(at(5), request(3, at(5))).Outcome, balancer.OutcomeNoEndpoint) // at once
 	is.Equal(len(b.Expire(at(2).Add(time.Second))), 1)
 }
+
+// TestRestingEndpointIsLeftAlone guards against requests to an endpoint that has turned one
+// away and said that it wants none for a while.
+func TestRestingEndpointIsLeftAlone(t *testing.T) {
+	rest := func(ms int, d time.Duration) func(b *balancer.Balancer) {
+		return func(b *balancer.Balancer) { b.RecordAnswer(at(ms), "a", advisor.Answer{Rest: d}, 0) }
+	}
+	tests := map[string]struct {
+		before []func(b *balancer.Balancer)
+		// free are the times in milliseconds at which the endpoint gets requests, resting
+		// those at which it gets none.
+		free, resting []int
+	}{
+		"nothing said":          {free: []int{1}},
+		"resting":               {before: []func(*balancer.Balancer){rest(0, 2*time.Second)}, resting: []int{1, 1000, 1999}, free: []int{2001}},
+		"the latest end counts": {before: []func(*balancer.Balancer){rest(0, 3*time.Second), rest(100, time.Second)}, resting: []int{1200, 2999}, free: []int{3001}},
+		"an answer of an earlier request does not end it": {
+			before:  []func(*balancer.Balancer){rest(0, 2*time.Second), rest(100, 0)},
+			resting: []int{150, 1999}, free: []int{2001},
+		},
+		"started again": {
+			before: []func(*balancer.Balancer){rest(0, 2*time.Second), func(b *balancer.Balancer) {
+				es := endpoints(1, 8)
+				es[0].Born = 7
+				b.SetEndpoints(at(50), es)
+			}},
+			free: []int{100},
+		},
+		"it is no failure": {
+			before: []func(*balancer.Balancer){rest(0, 200*time.Millisecond), func(b *balancer.Balancer) {
+				for range 8 {
+					b.RecordEnd(at(1), "a", 0, balancer.ResultRefused)
+				}
+			}},
+			// No pause, and no probation with one request at a time.
+			resting: []int{150}, free: []int{201, 202, 203},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(endpoints(1, 8))
+			for _, step := range tt.before {
+				step(b)
+			}
+			var id uint64
+			for _, ms := range tt.resting {
+				id++
+				r := request(id, at(ms))
+				r.StartBy = at(ms).Add(time.Millisecond)
+				is.Equal(b.Offer(at(ms), r).Outcome, balancer.OutcomeNoEndpoint)
+			}
+			for _, ms := range tt.free {
+				id++
+				is.Equal(b.Offer(at(ms), request(id, at(ms))).Outcome, balancer.OutcomeStarted)
+			}
+		})
+	}
+}
+
+// TestRefusedAtOnceIfAllEndpointsRest checks that requests are refused at once, with the time
+// at which the first endpoint wants some again, spread over the callers.
+func TestRefusedAtOnceIfAllEndpointsRest(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(endpoints(2, 8))
+	b.RecordAnswer(at(0), "a", advisor.Answer{Rest: 4 * time.Second}, 0)
+	b.RecordAnswer(at(0), "b", advisor.Answer{Rest: 3 * time.Second}, 0)
+	times := map[time.Duration]bool{}
+	for i := range uint64(5) {
+		r := request(i, at(1000))
+		r.Random = i << 61
+		d := b.Offer(at(1000), r)
+		is.Equal(d.Outcome, balancer.OutcomeNoEndpoint)
+		is.True(d.RetryAfter >= 2*time.Second && d.RetryAfter <= 4*time.Second)
+		times[d.RetryAfter] = true
+	}
+	is.Equal(len(times), 5)
+}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -165,7 +165,7 @@
 		}
 	}
 	if !b.hasCandidate(now, r) {
-		return Decision{ID: r.ID, Outcome: OutcomeNoEndpoint, RetryAfter: max(b.retryAfter(), b.limitWait(now, r))}
+		return Decision{ID: r.ID, Outcome: OutcomeNoEndpoint, RetryAfter: max(b.retryAfter(), b.adviceWait(now, r))}
 	}
 	return b.enqueue(now, r)
 }
--- a/pkg/balancer/pick.go
+++ b/pkg/balancer/pick.go
@@ -17,10 +17,10 @@
 	return false
 }
 
-// limitWait returns the time until the first of the eligible endpoints may get a request, if
-// the limits of all of them are used up, and a random part of it more, so that the refused
-// requests don't all return at once. It is 0 if there is one without a limit.
-func (b *Balancer) limitWait(now time.Time, r Request) time.Duration {
+// adviceWait returns the time until the first of the eligible endpoints accepts a request, if
+// all of them have said that they accept none now, and a random part of it more, so that the
+// refused requests don't all return at once. It is 0 if one accepts requests.
+func (b *Balancer) adviceWait(now time.Time, r Request) time.Duration {
 	shortest := time.Duration(-1)
 	for _, m := range b.memberList {
 		if !m.canRun(r) {
