--- a/pkg/balancer/advice_test.go
+++ b/pkg/balancer/advice_test.go
@@ -160,6 +160,7 @@
 		r.Random = i << 61
 		d := b.Offer(at(1000), r)
 		is.Equal(d.Outcome, balancer.OutcomeNoEndpoint)
+		is.Equal(d.Unwilling, 2)
 		is.True(d.RetryAfter >= 2*time.Second && d.RetryAfter <= 4*time.Second)
 		times[d.RetryAfter] = true
 	}
--- a/pkg/balancer/pick.go
+++ b/pkg/balancer/pick.go
@@ -17,6 +17,17 @@
 	return false
 }
 
+// unwilling returns the number of ready endpoints that have said that they accept no request
+// now.
+func (b *Balancer) unwilling(now time.Time) (n int) {
+	for _, m := range b.memberList {
+		if m.Ready && (m.advice.IsLeaving() || now.Before(m.advice.NextAt())) {
+			n++
+		}
+	}
+	return n
+}
+
 // adviceWait returns the time until the first of the eligible endpoints accepts a request, if
 // all of them have said that they accept none now, and a random part of it more, so that the
 // refused requests don't all return at once. It is 0 if one accepts requests.
