--- a/pkg/balancer/limit_test.go
+++ b/pkg/balancer/limit_test.go
@@ -47,9 +47,6 @@
 type arrivals struct {
 	// counted are the times of the requests that count against the limit.
 	counted []time.Duration
-	// held is the longest time for which a request waited before it was refused.
-	held    time.Duration
-	refused int
 }
 
 // most returns the highest number of requests in a window.
@@ -75,107 +72,127 @@
 // perEntry returns the requests per second at each entry.
 func (lr limitReplay) perEntry() float64 { return max(60/float64(lr.entries), 4) }
 
+// limitedCall is a request at an endpoint.
+type limitedCall struct {
+	entry      int
+	id         uint64
+	endpoint   string
+	answeredAt time.Duration
+	endsAt     time.Duration
+	isAnswered bool
+}
+
+// limitRun is the state of a replay.
+type limitRun struct {
+	limitReplay
+	rng       *rand.Rand
+	balancers []*balancer.Balancer
+	// told is when each entry first got an answer that names the limit; 0 if it has not.
+	told   []time.Duration
+	calls  []limitedCall
+	lastID uint64
+	result arrivals
+}
+
 // run replays the requests.
-func (lr limitReplay) run(seed uint64) (result arrivals) {
-	const answerAfter, endAfter = 200 * time.Millisecond, time.Second
-	type output struct {
-		at       time.Duration
-		entry    int
-		id       uint64
-		endpoint string
-		last     bool
-	}
-	rng := rand.New(rand.NewPCG(seed, 1))
-	bs := make([]*balancer.Balancer, lr.entries)
-	told := make([]time.Duration, lr.entries)
-	for i := range bs {
-		bs[i] = balancer.New(balancer.Config{Region: "r", MaxWaiting: 100, Senders: lr.entries})
+func (lr limitReplay) run(seed uint64) arrivals {
+	run := &limitRun{limitReplay: lr, rng: rand.New(rand.NewPCG(seed, 1)), told: make([]time.Duration, lr.entries)}
+	for i := range lr.entries {
+		b := balancer.New(balancer.Config{Region: "r", MaxWaiting: 100, Senders: lr.entries})
 		if i < lr.alone {
-			bs[i].SetSenders(1)
+			b.SetSenders(1)
 		}
 		es := endpoints(endpointCount, 1000)
 		es[0].Home = lr.home(i)
-		bs[i].SetEndpoints(at(0), es)
+		b.SetEndpoints(at(0), es)
+		run.balancers = append(run.balancers, b)
 	}
-	var outputs []output
-	waiting := map[uint64]time.Duration{}
-	var lastID uint64
 	for now := time.Duration(0); now < replayLength; now += replayStep {
-		t := start.Add(now)
-		started := func(entry int, d balancer.Decision) {
-			delete(waiting, d.ID)
-			if d.Endpoint.ID == "a" && told[entry] > 0 && now >= told[entry]+toldAfter && now >= limitedFrom+limitGrace-limitWindow {
-				result.counted = append(result.counted, now)
-			}
-			outputs = append(outputs, output{now + answerAfter, entry, d.ID, d.Endpoint.ID, false}, output{now + endAfter, entry, d.ID, d.Endpoint.ID, true})
-		}
-		outputs = slices.DeleteFunc(outputs, func(o output) bool {
-			if o.at > now {
-				return false
-			}
-			if o.last {
-				bs[o.entry].RecordEnd(t, o.endpoint, o.id, balancer.ResultAnswered)
-				return true
-			}
-			bs[o.entry].RecordFirstOutput(t, o.endpoint, o.id)
-			if now >= limitedFrom && (o.endpoint == "a" || lr.all) {
-				bs[o.entry].RecordAnswer(t, o.endpoint, advisor.Answer{Limit: lr.limit}, rng.Uint64())
-				if told[o.entry] == 0 {
-					told[o.entry] = now
-				}
-			}
-			return true
-		})
-		for i, b := range bs {
+		run.answer(now)
+		for i, b := range run.balancers {
 			if now == othersKnownAt {
 				b.SetSenders(lr.entries)
 			}
-			if lr.frozen && i == lr.entries-1 && now > 9*time.Second && now < 13*time.Second {
-				continue
-			}
-			for _, d := range b.RetryWaiting(t) {
-				started(i, d)
-			}
-			for _, d := range b.Expire(t) {
-				result.held = max(result.held, now-waiting[d.ID])
-			}
-			if rng.Float64() >= lr.perEntry()*replayStep.Seconds() {
-				continue
-			}
-			lastID++
-			r := request(lastID, t)
-			r.Random = rng.Uint64()
-			d := b.Offer(t, r)
-			switch d.Outcome {
-			case balancer.OutcomeStarted:
-				started(i, d)
-			case balancer.OutcomeQueued:
-				waiting[d.ID] = now
-			default:
-				result.refused++
+			if !lr.frozen || i != lr.entries-1 || now <= 9*time.Second || now >= 13*time.Second {
+				run.offer(now, i)
 			}
 		}
 	}
-	return result
+	return run.result
+}
+
+// answer passes on the answers of endpoints and ends the requests that are due.
+func (run *limitRun) answer(now time.Duration) {
+	t := start.Add(now)
+	run.calls = slices.DeleteFunc(run.calls, func(c limitedCall) bool {
+		if c.endsAt <= now {
+			run.balancers[c.entry].RecordEnd(t, c.endpoint, c.id, balancer.ResultAnswered)
+		}
+		return c.endsAt <= now
+	})
+	for i := range run.calls {
+		c := &run.calls[i]
+		if c.isAnswered || c.answeredAt > now {
+			continue
+		}
+		c.isAnswered = true
+		run.balancers[c.entry].RecordFirstOutput(t, c.endpoint, c.id)
+		if now < limitedFrom || (c.endpoint != "a" && !run.all) {
+			continue
+		}
+		run.balancers[c.entry].RecordAnswer(t, c.endpoint, advisor.Answer{Limit: run.limit}, run.rng.Uint64())
+		if run.told[c.entry] == 0 {
+			run.told[c.entry] = now
+		}
+	}
+}
+
+// offer starts the queued requests of an entry that can start, and offers it a new one at
+// random times.
+func (run *limitRun) offer(now time.Duration, entry int) {
+	t, b := start.Add(now), run.balancers[entry]
+	for _, d := range b.RetryWaiting(t) {
+		run.start(now, entry, d)
+	}
+	b.Expire(t)
+	if run.rng.Float64() >= run.perEntry()*replayStep.Seconds() {
+		return
+	}
+	run.lastID++
+	r := request(run.lastID, t)
+	r.Random = run.rng.Uint64()
+	if d := b.Offer(t, r); d.Outcome == balancer.OutcomeStarted {
+		run.start(now, entry, d)
+	}
+}
+
+// start sends a request to the endpoint of a decision.
+func (run *limitRun) start(now time.Duration, entry int, d balancer.Decision) {
+	const answerAfter, endAfter = 200 * time.Millisecond, time.Second
+	isTold := run.told[entry] > 0 && now >= run.told[entry]+toldAfter
+	if d.Endpoint.ID == "a" && isTold && now >= limitedFrom+limitGrace-limitWindow {
+		run.result.counted = append(run.result.counted, now)
+	}
+	run.calls = append(run.calls, limitedCall{entry: entry, id: d.ID, endpoint: d.Endpoint.ID, answeredAt: now + answerAfter, endsAt: now + endAfter})
 }
 
 // TestEndpointGetsNoMoreThanItsLimit guards against an endpoint in need that gets far more
 // requests than the limit that it has named, from all entries together.
 func TestEndpointGetsNoMoreThanItsLimit(t *testing.T) {
 	tests := map[string]limitReplay{
-		"1 entry":                                   {limit: 2, entries: 1},
-		"5 entries":                                 {limit: 2, entries: 5},
-		"5 entries, a home":                         {limit: 1.6, entries: 5, hasHome: true},
-		"5 entries, two homes":                      {limit: 8, entries: 5, hasHome: true, homes: 2},
-		"5 entries, two just started":               {limit: 4, entries: 5, alone: 2},
-		"5 entries, one frozen":                     {limit: 2, entries: 5, frozen: true},
-		"35 entries":                                {limit: 2, entries: 35},
-		"35 entries, a home":                        {limit: 6, entries: 35, hasHome: true},
-		"35 entries, two just started, one frozen":  {limit: 4, entries: 35, alone: 2, frozen: true},
-		"320 entries":                               {limit: 3, entries: 320},
-		"320 entries, a home":                       {limit: 3, entries: 320, hasHome: true},
-		"320 entries, two just started, one frozen": {limit: 3, entries: 320, alone: 2, frozen: true},
-		"all endpoints, 5 entries":                  {limit: 1, entries: 5, all: true},
+		"1 entry":              {limit: 2, entries: 1},
+		"5 entries":            {limit: 2, entries: 5},
+		"5, a home":            {limit: 1.6, entries: 5, hasHome: true},
+		"5, two homes":         {limit: 8, entries: 5, hasHome: true, homes: 2},
+		"5, two just started":  {limit: 4, entries: 5, alone: 2},
+		"5, one frozen":        {limit: 2, entries: 5, frozen: true},
+		"5, all endpoints":     {limit: 1, entries: 5, all: true},
+		"35 entries":           {limit: 2, entries: 35},
+		"35, a home":           {limit: 6, entries: 35, hasHome: true},
+		"35, started, frozen":  {limit: 4, entries: 35, alone: 2, frozen: true},
+		"320 entries":          {limit: 3, entries: 320},
+		"320, a home":          {limit: 3, entries: 320, hasHome: true},
+		"320, started, frozen": {limit: 3, entries: 320, alone: 2, frozen: true},
 	}
 	for name, lr := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/detector/detector_test.go
+++ b/pkg/detector/detector_test.go
@@ -58,70 +58,84 @@
 	}
 }
 
+const (
+	replayedEndpoints, streamsEach = 8, 12
+	suspended, slow                = 3, 5
+	suspendedFrom, suspendedUntil  = 2 * time.Second, 6 * time.Second
+	replayLength, replayStep       = 10 * time.Second, 10 * time.Millisecond
+	checkEvery                     = 100 * time.Millisecond
+	passTime, slowPassTime         = 90 * time.Millisecond, 360 * time.Millisecond
+	prefillTime                    = 300 * time.Millisecond
+)
+
+// stream is a stream of a replay.
+type stream struct {
+	endpoint     int
+	lastOutputAt time.Time
+	gone         bool
+}
+
+// step advances a stream and reports whether it has output. Its caller leaves if it is silent
+// for too long.
+func (s *stream) step(at time.Duration) (hasOutput bool) {
+	now := start.Add(at)
+	period := passTime
+	if s.endpoint == slow {
+		period = slowPassTime
+	}
+	silence := now.Sub(s.lastOutputAt)
+	isSuspended := s.endpoint == suspended && at >= suspendedFrom && at < suspendedUntil
+	s.gone = s.gone || silence >= patience
+	if s.gone || isSuspended || silence < period {
+		return false
+	}
+	s.lastOutputAt = now
+	return true
+}
+
 // TestSuspendedEndpointReplayed replays streams at eight endpoints, one of which is
 // suspended for four seconds and one of which is four times slower than the others.
 func TestSuspendedEndpointReplayed(t *testing.T) {
-	const (
-		endpoints, streams = 8, 12
-		suspended, slow    = 3, 5
-		step               = 10 * time.Millisecond
-		suspendedFrom      = 2 * time.Second
-		suspendedUntil     = 6 * time.Second
-		end                = 10 * time.Second
-		passTime           = 90 * time.Millisecond
-		prefillTime        = 300 * time.Millisecond
-	)
 	for _, detects := range []bool{false, true} {
 		t.Run(fmt.Sprintf("detects=%v", detects), func(t *testing.T) {
 			is := is.New(t)
 			d := detector.New()
-			type stream struct {
-				endpoint     int
-				lastOutputAt time.Time
-				gone         bool
-			}
-			all := map[uint64]*stream{}
-			for i := range uint64(endpoints * streams) {
-				all[i] = &stream{endpoint: int(i) % endpoints, lastOutputAt: start}
+			streams := map[uint64]*stream{}
+			for i := range uint64(replayedEndpoints * streamsEach) {
+				streams[i] = &stream{endpoint: int(i) % replayedEndpoints, lastOutputAt: start}
 				d.Start(start, i, patience)
 			}
-			moved, left := 0, 0
-			for at := time.Duration(0); at < end; at += step {
+			moved := 0
+			for at := time.Duration(0); at < replayLength; at += replayStep {
 				now := start.Add(at)
-				for id, s := range all {
-					period := passTime
-					if s.endpoint == slow {
-						period *= 4
-					}
-					isSuspended := s.endpoint == suspended && at >= suspendedFrom && at < suspendedUntil
-					silence := now.Sub(s.lastOutputAt)
-					switch {
-					case s.gone:
-					case silence >= patience:
-						s.gone = true
-						left++
-					case !isSuspended && silence >= period:
-						s.lastOutputAt = now
+				for id, s := range streams {
+					if s.step(at) {
 						d.RecordOutput(now, id)
 					}
 				}
-				if !detects || at%(100*time.Millisecond) != 0 {
+				if !detects || at%checkEvery != 0 {
 					continue
 				}
 				for _, silent := range d.Check(now) {
 					moved++
-					is.Equal(all[silent.ID].endpoint, suspended) // the others are only slow
+					s := streams[silent.ID]
+					is.Equal(s.endpoint, suspended) // the others are only slow
 					d.End(silent.ID)
-					all[silent.ID].endpoint = (suspended + 1) % endpoints
-					all[silent.ID].lastOutputAt = now.Add(prefillTime)
+					s.endpoint, s.lastOutputAt = (suspended+1)%replayedEndpoints, now.Add(prefillTime)
+				}
+			}
+			left := 0
+			for _, s := range streams {
+				if s.gone {
+					left++
 				}
 			}
 			if detects {
 				is.Equal(left, 0)
-				is.Equal(moved, streams)
+				is.Equal(moved, streamsEach)
 				return
 			}
-			is.Equal(left, streams)
+			is.Equal(left, streamsEach)
 		})
 	}
 }
