Name the terms of the field: idle timeout, backoff

No behavior changes. Callers' idle timeout instead of their patience, an endpoint's backoff instead of its rest, endpoints that decline instead of unwilling ones; endpoint_backoff and endpoint_backoffs in logs and metrics.

--- a/internal/forwarder/acquire.go
+++ b/internal/forwarder/acquire.go
@@ -24,7 +24,7 @@
 		}
 		now = f.cfg.Clock()
 		c.waitTime += now.Sub(startedAt)
-		if d.Unwilling > 0 {
+		if d.Declining > 0 {
 			f.cfg.Metrics.Add("requests_kept_from_endpoints", 1)
 		}
 		if err != nil {
@@ -56,7 +56,7 @@
 	if d.Outcome == balancer.OutcomeNoEndpoint {
 		code = CodeNoEndpoint
 	}
-	return d, notRun(code, d.RetryAfter, "%d waiting, waited %d ms, first sent %d ms before, %d endpoints accept none now", d.Waiting, c.waitTime.Milliseconds(), c.receivedAt.Sub(c.firstSentAt).Milliseconds(), d.Unwilling)
+	return d, notRun(code, d.RetryAfter, "%d waiting, waited %d ms, first sent %d ms before, %d endpoints accept none now", d.Waiting, c.waitTime.Milliseconds(), c.receivedAt.Sub(c.firstSentAt).Milliseconds(), d.Declining)
 }
 
 // maxResumeWait is how long an interrupted stream waits for an endpoint that can go on.
@@ -108,7 +108,7 @@
 func (f *Forwarder) logRoute(c *call, d balancer.Decision) {
 	logger.Log(f.cfg.Logger, logger.RouteChosen,
 		zap.String("request_id", c.RequestID), zap.String("service", c.service), zap.String("endpoint", d.Endpoint.ID),
-		zap.Float64("load", d.Load), zap.Duration("load_age", d.LoadAge), zap.Int("waiting", d.Waiting), zap.Int("unwilling", d.Unwilling),
+		zap.Float64("load", d.Load), zap.Duration("load_age", d.LoadAge), zap.Int("waiting", d.Waiting), zap.Int("declining", d.Declining),
 		zap.Duration("waited", c.waitTime), zap.Duration("since_first_send", c.receivedAt.Sub(c.firstSentAt)), zap.Uint64("weights", c.weightsVersion), zap.Uint64("config_version", c.configVersion),
 		zap.Duration("config_age", c.configAge), zap.Int("sends", c.sendCount))
 }
--- a/internal/forwarder/advice.go
+++ b/internal/forwarder/advice.go
@@ -22,9 +22,9 @@
 		f.cfg.Metrics.Add("endpoints_leaving", 1)
 		logger.Log(f.cfg.Logger, logger.EndpointLeaving, fields...)
 	}
-	if after.IsResting(now) && !before.IsResting(now) {
-		f.cfg.Metrics.Add("endpoint_rests", 1)
-		logger.Log(f.cfg.Logger, logger.EndpointResting, append(fields, zap.Duration("rest", info.Advice.Rest))...)
+	if after.InBackoff(now) && !before.InBackoff(now) {
+		f.cfg.Metrics.Add("endpoint_backoffs", 1)
+		logger.Log(f.cfg.Logger, logger.EndpointBackoff, append(fields, zap.Duration("backoff", info.Advice.Backoff))...)
 	}
 	if after.Limit() != before.Limit() {
 		f.cfg.Metrics.Add("endpoint_limits_changed", 1)
--- a/internal/forwarder/advice_test.go
+++ b/internal/forwarder/advice_test.go
@@ -28,8 +28,8 @@
 		"leaving, in a stream":   saying("Leaving", "1", streamUpTo(2)),
 		"leaving, in a failure":  saying("Leaving", "1", failing),
 		"leaving, in a refusal":  saying("Leaving", "1", status(http.StatusServiceUnavailable, true)),
-		"resting":                saying("Rest", "10s", status(http.StatusServiceUnavailable, true)),
-		"resting, may have run":  saying("Rest", "10s", status(http.StatusServiceUnavailable, false)),
+		"backoff":                saying("Backoff", "10s", status(http.StatusServiceUnavailable, true)),
+		"backoff, may have run":  saying("Backoff", "10s", status(http.StatusServiceUnavailable, false)),
 		"leaving, in a redirect": saying("Leaving", "1", status(http.StatusFound, false)),
 	}
 	for name, first := range tests {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -129,7 +129,7 @@
 		// Callers would take the status as a guarantee that the request has not run,
 		// but the endpoint does not confirm that.
 		result := balancer.ResultFailed
-		if info.Advice.Rest > 0 {
+		if info.Advice.Backoff > 0 {
 			result = balancer.ResultRefused
 		}
 		return &failure{result: result, sent: true, mayHaveRun: true, cause: fmt.Errorf("endpoint failed with status %d", status)}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -50,10 +50,10 @@
 }
 
 func (testTranslator) ResponseInfo(_ int, h http.Header) forwarder.ResponseInfo {
-	rest, _ := time.ParseDuration(h.Get("Rest"))
+	backoff, _ := time.ParseDuration(h.Get("Backoff"))
 	return forwarder.ResponseInfo{
 		RequestID: h.Get("Id"), Signed: h.Get("Stamp") != "", NotRun: h.Get("Not-Run") != "",
-		Advice: advisor.Answer{Leaving: h.Get("Leaving") != "", Rest: rest}, AdviceProblem: h.Get("Unreadable"),
+		Advice: advisor.Answer{Leaving: h.Get("Leaving") != "", Backoff: backoff}, AdviceProblem: h.Get("Unreadable"),
 	}
 }
 
@@ -184,7 +184,7 @@
 	long := route("long", resolver.KindStreaming, 2, false)
 	long.Timeout = 3 * time.Second
 	steady := route("steady", resolver.KindStreaming, 2, true)
-	steady.Timeout, steady.Patience = 6*time.Second, callerPatience
+	steady.Timeout, steady.IdleTimeout = 6*time.Second, callerIdleTimeout
 	whole := route("whole", resolver.KindSafe, 2, false)
 	whole.Timeout = 3 * time.Second
 	brief := route("brief", resolver.KindSafe, 2, false)
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -64,7 +64,7 @@
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
-	sw.detector.Start(now, d.ID, c.patience(now))
+	sw.detector.Start(now, d.ID, c.idleTimeout(now))
 	sw.attempts[d.ID] = &watchedAttempt{id: d.ID, call: c, endpoint: d.Endpoint.ID, sends: c.sendCount + 1, ctx: ctx, cancel: cancel}
 	return ctx
 }
@@ -163,15 +163,15 @@
 	r := f.newBalancerRequest(w.call, now)
 	r.Exclude = append(r.Exclude, w.endpoint)
 	r.Resumed, r.Late = true, true
-	r.StartBy = now.Add(w.call.patience(now) - s.Duration - r.FirstOutputDelay)
+	r.StartBy = now.Add(w.call.idleTimeout(now) - s.Duration - r.FirstOutputDelay)
 	return r
 }
 
-// patience returns how long the caller waits for the next output.
-func (c *call) patience(now time.Time) time.Duration {
+// idleTimeout returns how long the caller waits for the next output.
+func (c *call) idleTimeout(now time.Time) time.Duration {
 	left := c.answerDeadline.Sub(now)
-	if c.isStream() && c.route.Patience > 0 {
-		return min(left, c.route.Patience)
+	if c.isStream() && c.route.IdleTimeout > 0 {
+		return min(left, c.route.IdleTimeout)
 	}
 	return left
 }
--- a/internal/forwarder/silent_endpoint_test.go
+++ b/internal/forwarder/silent_endpoint_test.go
@@ -10,8 +10,8 @@
 	"github.com/matryer/is"
 )
 
-// callerPatience is how long the callers of the test routes wait for an event.
-const callerPatience = 2 * time.Second
+// callerIdleTimeout is how long the callers of the test routes wait for an event.
+const callerIdleTimeout = 2 * time.Second
 
 // silentAfter sends the first bytes of a stream and then nothing, like an endpoint whose
 // instance is suspended. It returns when its caller disconnects.
@@ -74,7 +74,7 @@
 			is.Equal(got.aborted, false)
 			is.Equal(got.body, tt.body)
 			is.Equal(attempts.Load(), int32(2))
-			is.True(got.elapsed < callerPatience) // before the caller gives up
+			is.True(got.elapsed < callerIdleTimeout) // before the caller gives up
 			select {
 			case <-a.disconnected:
 			case <-b.disconnected:
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -90,8 +90,8 @@
 		"A sidecar reported another version, a restart or a version switch of its endpoint.")
 	EndpointLeaving = register(2115, "endpoint_leaving", zapcore.InfoLevel,
 		"An endpoint said in an answer that it is leaving. It gets no more requests from this entry until it starts anew, whatever the list says.")
-	EndpointResting = register(2116, "endpoint_resting", zapcore.InfoLevel,
-		"An endpoint turned a request away and wants no more of this entry for the time in `rest`.")
+	EndpointBackoff = register(2116, "endpoint_backoff", zapcore.InfoLevel,
+		"An endpoint turned a request away and wants no more of this entry for the time in `backoff`.")
 	AdviceUnreadable = register(2117, "advice_unreadable", zapcore.WarnLevel,
 		"An endpoint's answer has a header about the requests that it accepts which is not plausible. It is ignored; `problem` names it. Logged once per endpoint and minute.")
 	EndpointLimited = register(2114, "endpoint_limited", zapcore.InfoLevel,
--- a/pkg/advisor/advisor.go
+++ b/pkg/advisor/advisor.go
@@ -20,7 +20,7 @@
 	Leaving bool
 	// Rest is how long the endpoint wants no requests of this entry; 0 if it says nothing
 	// about that.
-	Rest time.Duration
+	Backoff time.Duration
 	// Limit is the number of requests per second that the endpoint accepts from all entries
 	// together; 0 for no limit.
 	Limit float64
@@ -29,9 +29,9 @@
 // Advice is what an endpoint has said so far. It is immutable. The zero value stands for an
 // endpoint that has said nothing.
 type Advice struct {
-	leaving   bool
-	restUntil time.Time
-	limit     limiter.Limit
+	leaving      bool
+	backoffUntil time.Time
+	limit        limiter.Limit
 }
 
 // Leaving returns the advice of an endpoint that has said that it is leaving.
@@ -46,14 +46,14 @@
 // NextAt returns the earliest time at which the endpoint accepts another request of this
 // entry, unless it is leaving.
 func (a Advice) NextAt() time.Time {
-	if next := a.limit.NextAt(); next.After(a.restUntil) {
+	if next := a.limit.NextAt(); next.After(a.backoffUntil) {
 		return next
 	}
-	return a.restUntil
+	return a.backoffUntil
 }
 
-// IsResting reports whether the endpoint wants no requests of this entry for a while.
-func (a Advice) IsResting(now time.Time) bool { return now.Before(a.restUntil) }
+// InBackoff reports whether the endpoint wants no requests of this entry for a while.
+func (a Advice) InBackoff(now time.Time) bool { return now.Before(a.backoffUntil) }
 
 // WithAnswer returns the advice after an answer of the endpoint. share is this entry's share
 // of the endpoint's limit. random, between 0 and 1, spreads the first requests of the
@@ -61,8 +61,8 @@
 func (a Advice) WithAnswer(now time.Time, answer Answer, share, random float64) Advice {
 	// Answers may overtake each other, so one that doesn't say so is no return.
 	a.leaving = a.leaving || answer.Leaving
-	if until := now.Add(answer.Rest); answer.Rest > 0 && until.After(a.restUntil) {
-		a.restUntil = until
+	if until := now.Add(answer.Backoff); answer.Backoff > 0 && until.After(a.backoffUntil) {
+		a.backoffUntil = until
 	}
 	a.limit = a.limit.WithRate(now, answer.Limit, share, random)
 	return a
--- a/pkg/balancer/advice_test.go
+++ b/pkg/balancer/advice_test.go
@@ -88,27 +88,27 @@
 	is.Equal(len(b.Expire(at(2).Add(time.Second))), 1)
 }
 
-// TestRestingEndpointIsLeftAlone guards against requests to an endpoint that has turned one
+// TestEndpointInBackoffGetsNoRequests guards against requests to an endpoint that has turned one
 // away and said that it wants none for a while.
-func TestRestingEndpointIsLeftAlone(t *testing.T) {
-	rest := func(ms int, d time.Duration) func(b *balancer.Balancer) {
-		return func(b *balancer.Balancer) { b.RecordAnswer(at(ms), "a", advisor.Answer{Rest: d}, 0) }
+func TestEndpointInBackoffGetsNoRequests(t *testing.T) {
+	backoff := func(ms int, d time.Duration) func(b *balancer.Balancer) {
+		return func(b *balancer.Balancer) { b.RecordAnswer(at(ms), "a", advisor.Answer{Backoff: d}, 0) }
 	}
 	tests := map[string]struct {
 		before []func(b *balancer.Balancer)
-		// free are the times in milliseconds at which the endpoint gets requests, resting
+		// free are the times in milliseconds at which the endpoint gets requests, backoff
 		// those at which it gets none.
-		free, resting []int
+		free, backoff []int
 	}{
 		"nothing said":          {free: []int{1}},
-		"resting":               {before: []func(*balancer.Balancer){rest(0, 2*time.Second)}, resting: []int{1, 1000, 1999}, free: []int{2001}},
-		"the latest end counts": {before: []func(*balancer.Balancer){rest(0, 3*time.Second), rest(100, time.Second)}, resting: []int{1200, 2999}, free: []int{3001}},
+		"backoff":               {before: []func(*balancer.Balancer){backoff(0, 2*time.Second)}, backoff: []int{1, 1000, 1999}, free: []int{2001}},
+		"the latest end counts": {before: []func(*balancer.Balancer){backoff(0, 3*time.Second), backoff(100, time.Second)}, backoff: []int{1200, 2999}, free: []int{3001}},
 		"an answer of an earlier request does not end it": {
-			before:  []func(*balancer.Balancer){rest(0, 2*time.Second), rest(100, 0)},
-			resting: []int{150, 1999}, free: []int{2001},
+			before:  []func(*balancer.Balancer){backoff(0, 2*time.Second), backoff(100, 0)},
+			backoff: []int{150, 1999}, free: []int{2001},
 		},
 		"started again": {
-			before: []func(*balancer.Balancer){rest(0, 2*time.Second), func(b *balancer.Balancer) {
+			before: []func(*balancer.Balancer){backoff(0, 2*time.Second), func(b *balancer.Balancer) {
 				es := endpoints(1, 8)
 				es[0].Born = 7
 				b.SetEndpoints(at(50), es)
@@ -116,13 +116,13 @@
 			free: []int{100},
 		},
 		"it is no failure": {
-			before: []func(*balancer.Balancer){rest(0, 200*time.Millisecond), func(b *balancer.Balancer) {
+			before: []func(*balancer.Balancer){backoff(0, 200*time.Millisecond), func(b *balancer.Balancer) {
 				for range 8 {
 					b.RecordEnd(at(1), "a", 0, balancer.ResultRefused)
 				}
 			}},
 			// No pause, and no probation with one request at a time.
-			resting: []int{150}, free: []int{201, 202, 203},
+			backoff: []int{150}, free: []int{201, 202, 203},
 		},
 	}
 	for name, tt := range tests {
@@ -133,7 +133,7 @@
 				step(b)
 			}
 			var id uint64
-			for _, ms := range tt.resting {
+			for _, ms := range tt.backoff {
 				id++
 				r := request(id, at(ms))
 				r.StartBy = at(ms).Add(time.Millisecond)
@@ -147,20 +147,20 @@
 	}
 }
 
-// TestRefusedAtOnceIfAllEndpointsRest checks that requests are refused at once, with the time
+// TestRefusedAtOnceIfAllEndpointsAreInBackoff checks that requests are refused at once, with the time
 // at which the first endpoint wants some again, spread over the callers.
-func TestRefusedAtOnceIfAllEndpointsRest(t *testing.T) {
+func TestRefusedAtOnceIfAllEndpointsAreInBackoff(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer(endpoints(2, 8))
-	b.RecordAnswer(at(0), "a", advisor.Answer{Rest: 4 * time.Second}, 0)
-	b.RecordAnswer(at(0), "b", advisor.Answer{Rest: 3 * time.Second}, 0)
+	b.RecordAnswer(at(0), "a", advisor.Answer{Backoff: 4 * time.Second}, 0)
+	b.RecordAnswer(at(0), "b", advisor.Answer{Backoff: 3 * time.Second}, 0)
 	times := map[time.Duration]bool{}
 	for i := range uint64(5) {
 		r := request(i, at(1000))
 		r.Random = i << 61
 		d := b.Offer(at(1000), r)
 		is.Equal(d.Outcome, balancer.OutcomeNoEndpoint)
-		is.Equal(d.Unwilling, 2)
+		is.Equal(d.Declining, 2)
 		is.True(d.RetryAfter >= 2*time.Second && d.RetryAfter <= 4*time.Second)
 		times[d.RetryAfter] = true
 	}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -165,7 +165,7 @@
 		}
 	}
 	if !b.hasCandidate(now, r) {
-		return Decision{ID: r.ID, Outcome: OutcomeNoEndpoint, Unwilling: b.unwilling(now), RetryAfter: max(b.retryAfter(), b.adviceWait(now, r))}
+		return Decision{ID: r.ID, Outcome: OutcomeNoEndpoint, Declining: b.declining(now), RetryAfter: max(b.retryAfter(), b.adviceWait(now, r))}
 	}
 	return b.enqueue(now, r)
 }
@@ -202,7 +202,7 @@
 		}
 		return 1
 	})
-	refusal := Decision{ID: r.ID, Outcome: OutcomeBusy, Waiting: len(b.waiting), Unwilling: b.unwilling(now), RetryAfter: b.retryAfter()}
+	refusal := Decision{ID: r.ID, Outcome: OutcomeBusy, Waiting: len(b.waiting), Declining: b.declining(now), RetryAfter: b.retryAfter()}
 	if !now.Before(r.StartBy) || len(b.waiting) >= b.cfg.MaxWaiting {
 		return refusal
 	}
@@ -236,7 +236,7 @@
 func (b *Balancer) start(now time.Time, r Request, m *member) Decision {
 	d := Decision{
 		ID: r.ID, Outcome: OutcomeStarted, Endpoint: m.Endpoint,
-		Load: m.load(now, b.cfg.Senders), LoadAge: now.Sub(m.reportedAt), Waiting: len(b.waiting), Unwilling: b.unwilling(now),
+		Load: m.load(now, b.cfg.Senders), LoadAge: now.Sub(m.reportedAt), Waiting: len(b.waiting), Declining: b.declining(now),
 	}
 	m.recordStart(now, r)
 	m.advice = m.advice.WithStart(now, b.limitShare(now, m))
--- a/pkg/balancer/pick.go
+++ b/pkg/balancer/pick.go
@@ -17,9 +17,9 @@
 	return false
 }
 
-// unwilling returns the number of ready endpoints that have said that they accept no request
+// declining returns the number of ready endpoints that have said that they accept no request
 // now.
-func (b *Balancer) unwilling(now time.Time) (n int) {
+func (b *Balancer) declining(now time.Time) (n int) {
 	for _, m := range b.memberList {
 		if m.Ready && (m.advice.IsLeaving() || now.Before(m.advice.NextAt())) {
 			n++
--- a/pkg/balancer/request.go
+++ b/pkg/balancer/request.go
@@ -106,9 +106,9 @@
 	LoadAge time.Duration
 	// Waiting is the number of queued requests.
 	Waiting int
-	// Unwilling is the number of ready endpoints that have said that they accept no request
+	// Declining is the number of ready endpoints that have said that they accept no request
 	// now.
-	Unwilling int
+	Declining int
 	// RetryAfter is the delay after which a refused request may find a free slot.
 	RetryAfter time.Duration
 }
--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -5,8 +5,8 @@
 // open, so nothing but the silence shows it. Their callers give up after some time without
 // output, and the endpoint runs what it has received once it is back. A request that goes on
 // at another endpoint before costs that one a second prefill. An engine at its limits is also
-// silent for a moment, so a request counts as silent only after a share of its caller's
-// patience, which leaves the rest for the other endpoint.
+// silent for a moment, so a request counts as silent only after a share of its caller's idle
+// timeout, which leaves the remaining time to the other endpoint.
 package detector
 
 import (
@@ -16,9 +16,9 @@
 )
 
 const (
-	// patienceShare is the share of its caller's patience after which a request counts as
-	// silent.
-	patienceShare = 0.4
+	// idleTimeoutShare is the share of its caller's idle timeout after which a request counts
+	// as silent.
+	idleTimeoutShare = 0.4
 	// maxCheckGap is the longest time between two checks after which silence counts. After
 	// a longer one, this process itself has not run, and outputs may not have been read.
 	maxCheckGap = 500 * time.Millisecond
@@ -40,10 +40,10 @@
 // New returns a detector without requests.
 func New() *Detector { return &Detector{requests: map[uint64]*request{}} }
 
-// Start records that a request was sent to an endpoint. patience is how long its caller
-// waits for an output.
-func (d *Detector) Start(now time.Time, id uint64, patience time.Duration) {
-	d.requests[id] = &request{lastOutputAt: now, limit: time.Duration(patienceShare * float64(patience))}
+// Start records that a request was sent to an endpoint. idleTimeout is how long its
+// caller waits for an output.
+func (d *Detector) Start(now time.Time, id uint64, idleTimeout time.Duration) {
+	d.requests[id] = &request{lastOutputAt: now, limit: time.Duration(idleTimeoutShare * float64(idleTimeout))}
 }
 
 // RecordOutput records that a part of a request's answer has arrived.
--- a/pkg/detector/detector_test.go
+++ b/pkg/detector/detector_test.go
@@ -10,7 +10,7 @@
 	"flamingoledge.org/flamingoledge/pkg/detector"
 )
 
-const patience = 2 * time.Second
+const idleTimeout = 2 * time.Second
 
 var start = time.Unix(100, 0)
 
@@ -41,8 +41,8 @@
 			is := is.New(t)
 			d := detector.New()
 			d.Check(start)
-			d.Start(start, 1, patience)
-			d.Start(start, 2, patience)
+			d.Start(start, 1, idleTimeout)
+			d.Start(start, 2, idleTimeout)
 			for _, o := range tt.outputs {
 				d.RecordOutput(start.Add(o.at), o.id)
 			}
@@ -85,7 +85,7 @@
 	}
 	silence := now.Sub(s.lastOutputAt)
 	isSuspended := s.endpoint == suspended && at >= suspendedFrom && at < suspendedUntil
-	s.gone = s.gone || silence >= patience
+	s.gone = s.gone || silence >= idleTimeout
 	if s.gone || isSuspended || silence < period {
 		return false
 	}
@@ -103,7 +103,7 @@
 			streams := map[uint64]*stream{}
 			for i := range uint64(replayedEndpoints * streamsEach) {
 				streams[i] = &stream{endpoint: int(i) % replayedEndpoints, lastOutputAt: start}
-				d.Start(start, i, patience)
+				d.Start(start, i, idleTimeout)
 			}
 			moved := 0
 			for at := time.Duration(0); at < replayLength; at += replayStep {
--- a/pkg/resolver/configuration.go
+++ b/pkg/resolver/configuration.go
@@ -44,9 +44,9 @@
 	Anonymous bool
 	// Resumable streams may continue at another endpoint.
 	Resumable bool
-	// Patience is the time without output after which callers of a stream give up; 0 if
+	// IdleTimeout is the time without output after which callers of a stream give up; 0 if
 	// only their deadline counts.
-	Patience time.Duration
+	IdleTimeout time.Duration
 }
 
 // IsRetryable reports whether requests of the route may run more than once.
