Reserve an eighth of an endpoint's slots for its home instead of two

Two slots are a quarter of an engine with eight, as on the large site; what is kept free for homes there is missing to callers who are drawn to the entries unevenly. An eighth is two of sixteen, as before.

--- a/pkg/balancer/member.go
+++ b/pkg/balancer/member.go
@@ -71,10 +71,10 @@
 	// processes with the same reports from all selecting the same endpoint. Endpoints
 	// that have their home here don't need it.
 	costJitterSlots = 4.0
-	// homeReservedSlots is the number of free slots of an endpoint that are reserved for
-	// its home, about as many as the home uses before the next report reaches the
+	// homeReservedShare is the share of an endpoint's slots that is reserved for its home
+	// while it is free, about as many as the home uses before the next report reaches the
 	// other processes.
-	homeReservedSlots = 2.0
+	homeReservedShare = 1.0 / 8
 	// remoteSlotShare is the share of the remaining free slots that all other processes
 	// together may use. Without the limit they would all fill an endpoint that has
 	// just loaded at the same moment.
@@ -215,7 +215,7 @@
 // localFreeSlots returns the part of the free slots that this process may use. The
 // parts of all processes add up to free.
 func (m *member) localFreeSlots(free float64, senders int) float64 {
-	remoteSlots := remoteSlotShare * max(free-homeReservedSlots, 0) / float64(max(senders, 1))
+	remoteSlots := remoteSlotShare * max(free-homeReservedShare*m.capacity(), 0) / float64(max(senders, 1))
 	switch m.Home {
 	case HomeLocal:
 		return free - remoteSlots*float64(max(senders-1, 0))
