--- a/pkg/balancer/member.go
+++ b/pkg/balancer/member.go
@@ -78,7 +78,7 @@
 	// remoteSlotShare is the share of the remaining free slots that all other processes
 	// together may use. Without the limit they would all fill an endpoint that has
 	// just loaded at the same moment.
-	remoteSlotShare = 0.5
+	remoteSlotShare = 0.7
 	// remoteHomePenalty is the additional cost of an endpoint that has its home at
 	// another process, as a fraction of its capacity. Such an endpoint is used when
 	// those with their home here are full.
