--- a/pkg/advisor/advisor.go
+++ b/pkg/advisor/advisor.go
@@ -18,7 +18,7 @@
 type Answer struct {
 	// Leaving is set if the endpoint accepts no new requests any more.
 	Leaving bool
-	// Rest is how long the endpoint wants no requests of this entry; 0 if it says nothing
+	// Backoff is how long the endpoint wants no requests of this entry; 0 if it says nothing
 	// about that.
 	Backoff time.Duration
 	// Limit is the number of requests per second that the endpoint accepts from all entries
@@ -59,7 +59,7 @@
 // of the endpoint's limit. random, between 0 and 1, spreads the first requests of the
 // entries.
 func (a Advice) WithAnswer(now time.Time, answer Answer, share, random float64) Advice {
-	// Answers may overtake each other, so one that doesn't say so is no return.
+	// Answers may overtake each other, so one without the word does not undo it.
 	a.leaving = a.leaving || answer.Leaving
 	if until := now.Add(answer.Backoff); answer.Backoff > 0 && until.After(a.backoffUntil) {
 		a.backoffUntil = until
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -158,8 +158,7 @@
 // Offer starts, queues or refuses a request. A queued request is returned by a later
 // call of another method, unless Abandon removes it first.
 func (b *Balancer) Offer(now time.Time, r Request) Decision {
-	mustQueue := b.mustQueue(r)
-	if !mustQueue {
+	if !b.mustQueue(r) {
 		if m := b.pick(now, r); m != nil {
 			return b.start(now, r, m)
 		}
