--- a/pkg/advisor/advisor.go
+++ b/pkg/advisor/advisor.go
@@ -2,10 +2,10 @@
 // accepts: that it is leaving, that it wants none for a while, and how many it accepts from
 // all entries together.
 //
-// The load that determines the design is an endpoint in need, or about to stop, while the
-// list of endpoints still names it as ready: the list lags, can't be read during an outage,
-// or is restored from an older copy. Only the endpoint's own word is certain, so no list
-// undoes it, and it holds until the endpoint starts anew.
+// The load that determines the design is an endpoint that is overloaded, or about to stop,
+// while the list of endpoints still names it as ready: the list lags, can't be read during an
+// outage, or is restored from an older copy. Only what the endpoint itself says is certain, so
+// no list undoes it, and it holds until the endpoint starts anew.
 package advisor
 
 import (
@@ -59,7 +59,7 @@
 // of the endpoint's limit. random, between 0 and 1, spreads the first requests of the
 // entries.
 func (a Advice) WithAnswer(now time.Time, answer Answer, share, random float64) Advice {
-	// Answers may overtake each other, so one without the word does not undo it.
+	// Answers may overtake each other, so a later one that does not say it changes nothing.
 	a.leaving = a.leaving || answer.Leaving
 	if until := now.Add(answer.Backoff); answer.Backoff > 0 && until.After(a.backoffUntil) {
 		a.backoffUntil = until
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -1,19 +1,19 @@
 // Package limiter spaces the requests of one entry to an endpoint that limits those of all
 // entries together.
 //
-// The load that determines the design is an endpoint in need that allows a few requests per
-// second, while each of up to some hundred entries could send it that many. The entries don't
-// agree with each other, so each takes a share that adds up to less than the limit, also while
-// two entries both take themselves for the endpoint's home. No entry may save up requests:
-// the saved ones of all entries together would exceed the limit for seconds. Each entry
-// begins at a random time, so that the requests of all of them are spread evenly.
+// The load that determines the design is an overloaded endpoint that accepts a few requests
+// per second, while each of up to some hundred entries could send it that many. The entries
+// don't coordinate, so each has a fixed share, and the shares add up to less than the limit.
+// Unused requests don't accumulate: the bursts of all entries together would exceed the limit
+// for seconds. Each entry begins at a random time, so that their requests are spread evenly.
 package limiter
 
 import "time"
 
 const (
-	// homeShare is the share of a limit of the endpoint's home. Two homes exceed the limit
-	// by less than the half that endpoints tolerate for some seconds.
+	// homeShare is the share of a limit of the endpoint's home. While entries disagree about
+	// their membership, two may both consider themselves the home; their shares then exceed
+	// the limit by less than a half.
 	homeShare = 0.6
 	// remoteShare is the share of all other entries together.
 	remoteShare = 0.2
