Answer and log requests that meet a fault of the program

A panic in the handler closed the caller's connection with neither answer nor refusal, and the error log of http.Server is discarded, so that neither a line nor a counter told of it. The caller is told now that the outcome is unknown; handler_panicked has the stack, handler_panics counts.

A stream that is cut off on purpose is not counted.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -94,24 +94,30 @@
 	return common
 }
 
+func (f *Forwarder) newCall(r *http.Request) *call {
+	return &call{
+		RequestInfo: f.cfg.Translator.RequestInfo(r.Header), request: r, receivedAt: f.cfg.Clock(), target: r.RequestURI,
+		ctx: r.Context(), cancel: func() {},
+	}
+}
+
 // readRequest reads a caller's request, resolves its route, workspace and service, and
 // checks whether it may run.
-func (f *Forwarder) readRequest(w http.ResponseWriter, r *http.Request) (c *call, p *Problem) {
-	now := f.cfg.Clock()
-	c = &call{RequestInfo: f.cfg.Translator.RequestInfo(r.Header), request: r, receivedAt: now, target: r.RequestURI, ctx: r.Context(), cancel: func() {}}
+func (f *Forwarder) readRequest(w http.ResponseWriter, c *call) (p *Problem) {
+	now, r := c.receivedAt, c.request
 	state := f.cfg.RoutingState()
 	if state.Table == nil {
-		return c, notRun(CodeNoConfiguration, noConfigRetryAfter, "no configuration is known yet")
+		return notRun(CodeNoConfiguration, noConfigRetryAfter, "no configuration is known yet")
 	}
 	c.configVersion = state.Table.Configuration().Version
 	c.configAge = now.Sub(state.ConfirmedAt)
 	if c.route = state.Table.Route(r.Host, r.URL.Path); c.route == nil {
-		return c, f.deny(c, http.StatusNotFound, CodeNoRoute, "no route for this host and path")
+		return f.deny(c, http.StatusNotFound, CodeNoRoute, "no route for this host and path")
 	}
 	if state.Table.NeedsKey(c.route) {
 		c.requiresKey = true
 		if c.workspace = state.Table.Workspace(c.Key); c.workspace == nil {
-			return c, f.deny(c, http.StatusUnauthorized, CodeUnknownKey, "the key is not known")
+			return f.deny(c, http.StatusUnauthorized, CodeUnknownKey, "the key is not known")
 		}
 	}
 	c.service = c.route.PickService(xxhash.Sum64String(c.RequestID))
@@ -126,15 +132,15 @@
 		c.answerDeadline = now.Add(c.route.Timeout)
 	}
 	if p = f.readBody(w, c, state.Table.Configuration().Limits.MaxBodyBytes); p != nil {
-		return c, p
+		return p
 	}
 	f.startEstimator.estimate(c)
 	c.ctx, c.cancel = context.WithTimeout(r.Context(), c.answerDeadline.Sub(f.cfg.Clock()))
 	if p = f.checkAllowed(c, state); p != nil {
 		c.cancel()
-		return c, p
+		return p
 	}
-	return c, nil
+	return nil
 }
 
 // deny refuses a request that the configuration does not allow. If the configuration
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -191,8 +191,9 @@
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c, p := f.readRequest(w, r)
-	if p != nil {
+	c := f.newCall(r)
+	defer f.recoverHandler(w, c)
+	if p := f.readRequest(w, c); p != nil {
 		f.writeProblem(w, c, p)
 		return
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -172,6 +172,8 @@
 	state     forwarder.RoutingState
 	// stateReads counts how often the forwarder has read the state.
 	stateReads atomic.Int64
+	// onStateRead is called before each of these; nil for nothing.
+	onStateRead func()
 	logs       *observer.ObservedLogs
 	metrics    *expvar.Map
 }
@@ -232,6 +234,9 @@
 		Translator: testTranslator{},
 		Pool:       exchanger.New(exchanger.Config{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdleConnsPerAddress: 4, TCPUserTimeout: 4 * time.Second}),
 		RoutingState: func() *forwarder.RoutingState {
+			if f.onStateRead != nil {
+				f.onStateRead()
+			}
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			s := f.state
--- a/internal/forwarder/problem.go
+++ b/internal/forwarder/problem.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -95,6 +96,21 @@
 	_, _ = w.Write(body)
 }
 
+// recoverHandler logs a panic of the handler, which is a fault of this program, and reports
+// an unknown outcome to the caller. An http.ErrAbortHandler is raised again.
+func (f *Forwarder) recoverHandler(w http.ResponseWriter, c *call) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(http.ErrAbortHandler)
+	}
+	f.cfg.Metrics.Add("handler_panics", 1)
+	logger.Log(f.cfg.Logger, logger.HandlerPanicked, append(f.logFields(c), zap.Any("panic", cause), zap.Stack("stack"))...)
+	f.writeProblem(w, c, &Problem{Status: http.StatusBadGateway, Code: CodeUnknownOutcome, Message: "internal error; the request may have run"})
+}
+
 // logFields returns the log fields that identify a call and its state.
 func (f *Forwarder) logFields(c *call) []zap.Field {
 	now := f.cfg.Clock()
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -140,6 +140,10 @@
 		"An attempt at an endpoint failed without an answer to forward. `may_have_run` says whether the endpoint may have run it; `cause` is the error.")
 )
 
+// Events about faults of this program.
+var HandlerPanicked = register(3014, "handler_panicked", zapcore.ErrorLevel,
+	"A request met a fault of this program. Its caller was told that the outcome is unknown, or, within an answer, its connection was closed. This is a bug; report it with the `stack`.")
+
 // Events about requests that crash endpoints.
 var (
 	EndpointDied = register(3101, "endpoint_died", zapcore.ErrorLevel,
