Keep a silent attempt running until its replacement has output

What callers saw: a sound endpoint that paused for 1.1 s could cost the caller its answer. From 0.4 of the caller's idle timeout on the entry canceled the attempt and sent the request to another endpoint.

Cause: something that works was given up before its replacement held. The decision needed only a free slot elsewhere, not an answer from there.

Now the replacement runs beside the silent attempt, and the first of the two with output goes on: an output of the silent one cancels the replacement; an event (or whole answer) of the replacement cancels the silent one. A refusal, failure or denial of the replacement leaves the call where it is. If the silent attempt ends by itself, a replacement that is sent is awaited, and one that still waits for a slot is withdrawn. Sends of both count for the limit of the route, and the retry budget is charged as before. The endpoint still counts as silent from the moment at which the replacement is sent, and no longer once it has output.

--- a/internal/forwarder/acquire.go
+++ b/internal/forwarder/acquire.go
@@ -18,9 +18,7 @@
 	for {
 		startedAt := f.cfg.Clock()
 		var err error
-		if d = c.takeReserved(); d.Outcome != balancer.OutcomeStarted {
-			d, err = dp.awaitDecision(c.ctx, f.cfg.Clock, f.balancerRequest(c, startedAt))
-		}
+		d, err = dp.awaitDecision(c.ctx, f.cfg.Clock, f.balancerRequest(c, startedAt))
 		c.waitTime += f.cfg.Clock().Sub(startedAt)
 		if d.Declining > 0 {
 			f.cfg.Metrics.Add("requests_kept_from_endpoints", 1)
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -61,6 +61,7 @@
 			f.endAttempt(a, balancer.ResultCanceled)
 			f.writeProblem(w, c, &Problem{Code: CodeCallerDisconnected, Message: writeErr.Error(), CallerDisconnected: true})
 		}
+		f.silence.recordDelivery(f.cfg.Clock(), a.request, c)
 		if a.events.atEnd {
 			if a.events.hasEvents && a.answer.IsFramed() {
 				f.recordSoundAnswer(c)
@@ -69,8 +70,8 @@
 			f.logAnswered(c, a, nil)
 			return
 		}
-		if batch, err = a.events.next(); err == nil || errors.Is(err, io.EOF) {
-			f.recordOutput(a, f.cfg.Clock())
+		batch, err = a.events.next()
+		if isOutput := err == nil || errors.Is(err, io.EOF); isOutput && f.recordOutput(a, f.cfg.Clock()) {
 			if batch.count > 0 {
 				f.recordSoundAnswer(c)
 			}
@@ -109,14 +110,16 @@
 	c.triedEndpoints = append(c.triedEndpoints, a.endpoint.ID)
 	logger.Log(f.cfg.Logger, logger.AttemptFailed, append(f.logFields(c),
 		zap.Bool("may_have_run", true), zap.Int("events", c.deliveredEvents), zap.String("cause", fail.Error()))...)
-	if p := f.prepareRetry(c, fail); p != nil {
-		f.writeProblem(w, c, p)
-		return nil
-	}
-	next, p := f.runAttempts(c)
-	if p != nil {
-		f.writeProblem(w, c, p)
-		return nil
+	next := f.awaitReplacement(c)
+	if next == nil {
+		p := f.prepareRetry(c, fail)
+		if p == nil {
+			next, p = f.runAttempts(c)
+		}
+		if p != nil {
+			f.writeProblem(w, c, p)
+			return nil
+		}
 	}
 	if next.events == nil {
 		f.endAttempt(next, balancer.ResultFailed)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -46,6 +46,9 @@
 			return a, nil
 		}
 		f.recordFailure(c, d, fail)
+		if next := f.awaitReplacement(c); next != nil {
+			return next, nil
+		}
 		if p = f.prepareRetry(c, fail); p != nil {
 			return nil, p
 		}
@@ -64,7 +67,7 @@
 	defer func() {
 		if fail != nil {
 			a.body.release(&f.answerMemory)
-			f.endWatch(a)
+			f.silence.end(a.request)
 		}
 	}()
 	c.endpoint, c.sentAt, c.lastOutputAt = d.Endpoint.ID, now, now
@@ -107,7 +110,10 @@
 		return a, fail
 	}
 	firstOutputAt := f.cfg.Clock()
-	f.recordOutput(a, firstOutputAt)
+	if !f.recordOutput(a, firstOutputAt) {
+		answer.Close()
+		return a, f.interruptedAnswer(c, a, context.Cause(a.ctx))
+	}
 	f.firstByteEstimator.observe(c, firstOutputAt.Sub(now))
 	a.dispatcher.recordFirstOutput(firstOutputAt, a.endpoint.ID, a.request)
 	return a, nil
@@ -171,7 +177,11 @@
 	if a.answer.Status < http.StatusInternalServerError {
 		return nil
 	}
-	if c.route.Kind != resolver.KindSafe || c.sendCount >= c.route.MaxAttempts {
+	sends, isReplaced := f.silence.sendCount(c)
+	if isReplaced {
+		return &failure{result: balancer.ResultFailed, mayHaveRun: true, sent: true, cause: fmt.Errorf("endpoint failed with status %d", a.answer.Status)}
+	}
+	if c.route.Kind != resolver.KindSafe || sends >= c.route.MaxAttempts {
 		return nil
 	}
 	now := f.cfg.Clock()
@@ -206,19 +216,20 @@
 	if a.answer != nil {
 		a.answer.Close()
 	}
-	f.endWatch(a)
+	f.silence.end(a.request)
 	a.dispatcher.recordEnd(f.cfg.Clock(), a.endpoint.ID, a.request, r)
 }
 
-// endWatch stops watching an attempt for silence.
-func (f *Forwarder) endWatch(a *attempt) {
-	if moved := f.silence.end(a.request); moved != nil {
-		a.call.reserved = &moved.next
+// recordOutput records that a part of an attempt's answer has arrived. It returns false if the
+// call goes on with another attempt, so that the part must not be used.
+func (f *Forwarder) recordOutput(a *attempt, now time.Time) bool {
+	ok, wasSilent := f.silence.recordOutput(now, a.request)
+	if !ok {
+		return false
 	}
-}
-
-// recordOutput records that a part of an attempt's answer has arrived.
-func (f *Forwarder) recordOutput(a *attempt, now time.Time) {
 	a.call.lastOutputAt = now
-	f.silence.recordOutput(now, a.request)
+	if wasSilent {
+		a.dispatcher.recordFirstOutput(now, a.endpoint.ID, a.request)
+	}
+	return true
 }
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -11,7 +11,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"flamingoledge.org/flamingoledge/pkg/balancer"
 	"flamingoledge.org/flamingoledge/pkg/estimator"
 	"flamingoledge.org/flamingoledge/pkg/resolver"
 )
@@ -61,19 +60,10 @@
 	// deliveredEvents counts the events that were sent to the caller.
 	deliveredEvents int
 	headerSent      bool
-	// reserved is the decision for the next attempt if a slot is already reserved for it;
-	// nil otherwise.
-	reserved *balancer.Decision
-}
-
-// takeReserved returns the decision that was reserved for the next attempt, or the zero
-// decision.
-func (c *call) takeReserved() (d balancer.Decision) {
-	if c.reserved != nil {
-		d = *c.reserved
-	}
-	c.reserved = nil
-	return d
+	// watched is the current attempt while it may be replaced by another one; nil if it may not.
+	watched *watchedAttempt
+	// isReplacement is set for the copy of a call that a replacement uses.
+	isReplacement bool
 }
 
 // regions returns the regions whose endpoints may run the request; nil for all. Both the route
--- a/internal/forwarder/dispatcher.go
+++ b/internal/forwarder/dispatcher.go
@@ -121,6 +121,12 @@
 	dp.notifyWaiters(dp.balancer.RecordFirstOutput(now, endpoint, request))
 }
 
+func (dp *dispatcher) recordSilence(now time.Time, endpoint string, request uint64) {
+	dp.mu.Lock()
+	defer dp.mu.Unlock()
+	dp.balancer.RecordSilence(now, endpoint, request)
+}
+
 func (dp *dispatcher) recordEnd(now time.Time, endpoint string, request uint64, r balancer.Result) {
 	dp.mu.Lock()
 	defer dp.mu.Unlock()
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -31,7 +31,7 @@
 // serveCall runs a call and sends its answer or problem to the caller.
 func (f *Forwarder) serveCall(w http.ResponseWriter, c *call) {
 	f.retryBudgets.get(c.receivedAt, c.service).RecordRequest(c.receivedAt)
-	defer f.releaseReserved(c)
+	defer c.discardReplacement()
 	a, p := f.runAttempts(c)
 	if p != nil {
 		f.writeProblem(w, c, p)
@@ -125,7 +125,7 @@
 		logger.Log(f.cfg.Logger, logger.RetryWithheld, append(f.logFields(c), zap.String("reason", reasonSuspect))...)
 		return f.finalProblem(c, fail)
 	}
-	if errors.Is(fail.cause, errRetryGranted) || c.reserved != nil {
+	if errors.Is(fail.cause, errRetryGranted) && c.sendCount < c.maxSends() {
 		return nil
 	}
 	now := f.cfg.Clock()
@@ -137,7 +137,7 @@
 		}
 		return f.finalProblem(c, fail)
 	}
-	if c.sendCount >= min(c.route.MaxAttempts, maxSendCount) {
+	if c.sendCount >= c.maxSends() {
 		return f.finalProblem(c, fail)
 	}
 	budget := f.retryBudgets.get(now, c.service)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -171,11 +171,11 @@
 	f.retryBudgets.setEntryCount(n)
 }
 
-// DispatchWaiting retries to dispatch the waiting requests and moves those whose endpoint
-// has fallen silent. It has to be called regularly, since neither the end of an endpoint's
+// DispatchWaiting retries to dispatch the waiting requests and replaces the attempts whose
+// endpoint has fallen silent. It has to be called regularly, since neither the end of an endpoint's
 // pause nor silence causes an event.
 func (f *Forwarder) DispatchWaiting(now time.Time) {
-	f.moveSilent(now)
+	f.replaceSilent(now)
 	f.dispatchers.each(func(dp *dispatcher) { dp.retryWaiting(now) })
 }
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -174,8 +174,8 @@
 	stateReads atomic.Int64
 	// onStateRead is called before each of these; nil for nothing.
 	onStateRead func()
-	logs       *observer.ObservedLogs
-	metrics    *expvar.Map
+	logs        *observer.ObservedLogs
+	metrics     *expvar.Map
 }
 
 var testStart = time.Now()
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,32 +12,43 @@
 	"flamingoledge.org/flamingoledge/pkg/retrier"
 )
 
-// silentEndpointError is the cause of canceling an attempt whose endpoint has fallen silent.
-// The request goes on at the endpoint of next, where a slot is reserved for it.
-type silentEndpointError struct {
-	silence time.Duration
-	next    balancer.Decision
-}
+// silentEndpointError is the cause of canceling an attempt whose endpoint has fallen silent,
+// after its replacement has output.
+type silentEndpointError struct{ silence time.Duration }
 
 // Error implements error.
 func (e *silentEndpointError) Error() string {
 	return fmt.Sprintf("no output for %d ms", e.silence.Milliseconds())
 }
 
-// watchedAttempt is an attempt that may be moved to another endpoint.
+// watchedAttempt is an attempt that another one may replace if its endpoint falls silent.
 type watchedAttempt struct {
 	id       uint64
-	call     *call
 	endpoint string
-	// sends is the number of sends of the request, this one included.
-	sends     int
+	// call is a copy of the call as an attempt at another endpoint would continue it.
+	call      call
 	hasOutput bool
-	ctx       context.Context
-	cancel    context.CancelCauseFunc
-	// stopWaiting ends the wait for another endpoint; nil if the attempt does not wait.
-	stopWaiting context.CancelFunc
-	// moved is the cause with which the attempt was canceled; nil if it was not.
-	moved *silentEndpointError
+	// isDelivering is set while output is sent to the caller and none is read.
+	isDelivering bool
+	cancel       context.CancelCauseFunc
+	// replacements are the attempts to replace this one. Only the last one may be running.
+	replacements []*replacement
+	// replaced is set once the attempt has been canceled in favor of the last replacement.
+	replaced bool
+}
+
+// current returns the replacement that is running; nil if there is none.
+func (w *watchedAttempt) current() *replacement {
+	if len(w.replacements) == 0 {
+		return nil
+	}
+	last := w.replacements[len(w.replacements)-1]
+	select {
+	case <-last.done:
+		return nil
+	default:
+		return last
+	}
 }
 
 // silenceWatch holds the attempts whose requests may run more than once.
@@ -58,112 +70,133 @@
 // endpoint. Attempts that must not be repeated are not watched. end has to be called for
 // each watched attempt.
 func (sw *silenceWatch) watch(now time.Time, c *call, d balancer.Decision) context.Context {
-	if !c.route.IsRetryable() || c.sendCount+1 >= min(c.route.MaxAttempts, maxSendCount) {
+	if c.isReplacement {
+		return c.ctx
+	}
+	c.watched = nil
+	next := c.withTried(d.Endpoint.ID)
+	next.sendCount++
+	if !next.mayRepeat() {
 		return c.ctx
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
+	c.watched = &watchedAttempt{id: d.ID, endpoint: d.Endpoint.ID, call: next, cancel: cancel}
+	sw.add(now, c.watched)
+	return ctx
+}
+
+func (sw *silenceWatch) add(now time.Time, w *watchedAttempt) {
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
-	sw.detector.Start(now, d.ID, c.idleTimeout(now))
-	sw.attempts[d.ID] = &watchedAttempt{id: d.ID, call: c, endpoint: d.Endpoint.ID, sends: c.sendCount + 1, ctx: ctx, cancel: cancel}
-	return ctx
+	sw.detector.Start(now, w.id, w.call.idleTimeout(now))
+	sw.attempts[w.id] = w
 }
 
-func (sw *silenceWatch) recordOutput(now time.Time, id uint64) {
+// recordOutput records that a part of an attempt's answer has arrived, and stops the attempt
+// that was to replace it. It returns false if that one has replaced it already; the output
+// must not be used then. wasSilent is set if the endpoint had fallen silent.
+func (sw *silenceWatch) recordOutput(now time.Time, id uint64) (ok, wasSilent bool) {
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
 	w := sw.attempts[id]
 	if w == nil {
-		return
+		return true, false
 	}
-	w.hasOutput = true
+	if w.replaced {
+		return false, false
+	}
+	w.hasOutput, w.isDelivering = true, true
 	sw.detector.RecordOutput(now, id)
-	if w.stopWaiting != nil {
-		w.stopWaiting()
+	if rep := w.current(); rep != nil {
+		rep.cancel(context.Canceled)
+		return true, rep.isSent
 	}
+	return true, false
 }
 
-// end stops watching an attempt. It returns the cause if the request has to go on at another
-// endpoint, and nil otherwise.
-func (sw *silenceWatch) end(id uint64) *silentEndpointError {
+// recordDelivery records that the output that was read has been sent to the caller.
+func (sw *silenceWatch) recordDelivery(now time.Time, id uint64, c *call) {
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
 	w := sw.attempts[id]
 	if w == nil {
-		return nil
+		return
 	}
-	delete(sw.attempts, id)
-	sw.detector.End(id)
-	w.cancel(nil)
-	return w.moved
+	w.isDelivering = false
+	w.call.LastEventID, w.call.deliveredEvents, w.call.suspects.answerBegun = c.LastEventID, c.deliveredEvents, c.suspects.answerBegun
+	sw.detector.RecordOutput(now, id)
 }
 
-// moveSilent starts to look for another endpoint for each attempt whose endpoint has fallen
-// silent.
-func (f *Forwarder) moveSilent(now time.Time) {
-	sw := &f.silence
+// end stops watching an attempt.
+func (sw *silenceWatch) end(id uint64) {
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
-	if now.Before(sw.nextScan) {
-		return
+	if w := sw.attempts[id]; w != nil {
+		delete(sw.attempts, id)
+		sw.detector.End(id)
+		w.cancel(nil)
 	}
-	sw.nextScan = now.Add(silenceScanInterval)
-	for _, s := range sw.detector.Check(now) {
-		w := sw.attempts[s.ID]
-		r := f.requestElsewhere(w, now, s)
-		if w.moved != nil || w.stopWaiting != nil || !r.StartBy.After(now) {
-			continue
+}
+
+// sendCount returns the number of sends of a call with those of replacements, and whether one
+// of these is still running.
+func (sw *silenceWatch) sendCount(c *call) (n int, isRunning bool) {
+	if c.watched == nil {
+		return c.sendCount, false
+	}
+	sw.mu.Lock()
+	defer sw.mu.Unlock()
+	n = c.sendCount
+	for _, rep := range c.watched.replacements {
+		if rep.isSent {
+			n++
 		}
-		var ctx context.Context
-		ctx, w.stopWaiting = context.WithCancel(w.ctx)
-		go f.moveAttempt(ctx, w, r)
 	}
+	return n, c.watched.current() != nil
 }
 
-// moveAttempt waits for a free slot at another endpoint and then cancels the attempt, whose
-// request goes on there. The attempt stays where it is if ctx ends before, or without a free
-// slot or a retry in the budget.
-func (f *Forwarder) moveAttempt(ctx context.Context, w *watchedAttempt, r balancer.Request) {
-	dp := f.dispatchers.get(w.call.service)
-	next, err := dp.awaitDecision(ctx, f.cfg.Clock, r)
+// replaceSilent starts to replace each attempt whose endpoint has fallen silent.
+func (f *Forwarder) replaceSilent(now time.Time) {
 	sw := &f.silence
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
-	w.stopWaiting()
-	w.stopWaiting = nil
-	if err != nil || next.Outcome != balancer.OutcomeStarted {
+	if now.Before(sw.nextScan) {
 		return
 	}
-	now := f.cfg.Clock()
-	silence, isSilent := sw.detector.Silence(now, w.id)
-	if !isSilent || !f.allowMove(now, w) {
-		dp.recordEnd(now, next.Endpoint.ID, next.ID, balancer.ResultCanceled)
-		return
+	sw.nextScan = now.Add(silenceScanInterval)
+	for _, s := range sw.detector.Check(now) {
+		w := sw.attempts[s.ID]
+		if w.replaced || w.current() != nil || !w.call.mayRepeat() {
+			continue
+		}
+		rep := newReplacement(w.call)
+		r := f.replacementRequest(rep.call, now, s)
+		if !r.StartBy.After(now) {
+			rep.cancel(nil)
+			continue
+		}
+		w.replacements = append(slices.DeleteFunc(w.replacements, func(r *replacement) bool { return !r.isSent }), rep)
+		go f.runReplacement(w, rep, r)
 	}
-	f.cfg.Metrics.Add("attempts_moved", 1)
-	w.moved = &silentEndpointError{silence: silence, next: next}
-	w.cancel(w.moved)
 }
 
-// allowMove takes a retry from the budget for an attempt that is moved.
-func (f *Forwarder) allowMove(now time.Time, w *watchedAttempt) bool {
-	budget := f.retryBudgets.get(now, w.call.service)
+// allowReplacement takes a retry from the budget for the replacement of an attempt.
+func (f *Forwarder) allowReplacement(now time.Time, c *call, hasOutput bool) bool {
+	budget := f.retryBudgets.get(now, c.service)
 	allow := budget.AllowRetry
-	if w.hasOutput {
+	if hasOutput {
 		allow = budget.AllowResume
 	}
-	_, refusal := allow(now, w.call.answerDeadline, w.sends)
+	_, refusal := allow(now, c.answerDeadline, c.sendCount)
 	return refusal == retrier.RefusalNone
 }
 
-// requestElsewhere returns the balancer's description of the request of a silent attempt. It
-// may wait until its caller is about to give up. The caller holds the watch's mutex, so that
-// the attempt does not end, and its call's attempts and version do not change.
-func (f *Forwarder) requestElsewhere(w *watchedAttempt, now time.Time, s detector.Silence) balancer.Request {
-	r := f.newBalancerRequest(w.call, now)
-	r.Exclude = append(r.Exclude, w.endpoint)
+// replacementRequest returns the balancer's description of the request of a silent attempt.
+// It may wait until its caller is about to give up.
+func (f *Forwarder) replacementRequest(c *call, now time.Time, s detector.Silence) balancer.Request {
+	r := f.newBalancerRequest(c, now)
 	r.Resumed, r.Late = true, true
-	r.StartBy = now.Add(w.call.idleTimeout(now) - s.Duration - r.FirstOutputDelay)
+	r.StartBy = now.Add(c.idleTimeout(now) - s.Duration - r.FirstOutputDelay)
 	return r
 }
 
@@ -175,11 +208,3 @@
 	}
 	return left
 }
-
-// releaseReserved frees the slot that was reserved for a call which does not use it.
-func (f *Forwarder) releaseReserved(c *call) {
-	if d := c.reserved; d != nil {
-		c.reserved = nil
-		f.dispatchers.get(c.service).recordEnd(f.cfg.Clock(), d.Endpoint.ID, d.ID, balancer.ResultCanceled)
-	}
-}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -343,6 +343,14 @@
 	return b.startWaiting(now)
 }
 
+// RecordSilence records that an endpoint has sent nothing for too long to a request that is
+// still running there.
+func (b *Balancer) RecordSilence(now time.Time, endpointID string, requestID uint64) {
+	if m := b.members[endpointID]; m != nil {
+		m.recordSilence(now, b.startedAt[requestID])
+	}
+}
+
 // RecordEnd records the end of a request at an endpoint. It returns the queued
 // requests that start now.
 func (b *Balancer) RecordEnd(now time.Time, endpointID string, requestID uint64, r Result) []Decision {
--- a/pkg/balancer/member.go
+++ b/pkg/balancer/member.go
@@ -329,16 +329,21 @@
 	case ResultUnreachable:
 		m.pause(now, r)
 	case ResultSilent:
-		// All requests of an endpoint fall silent at once, which is one failure.
-		if m.pauses == 0 || startedAt.After(m.pausedAt) {
-			m.pause(now, r)
-		}
+		m.recordSilence(now, startedAt)
 	case ResultRefused:
 		m.pausedUntil = now.Add(refusedPause)
 	case ResultCanceled:
 	}
 }
 
+// recordSilence records that a request that was sent at startedAt has no output. All requests
+// of an endpoint fall silent at once, which is one failure.
+func (m *member) recordSilence(now, startedAt time.Time) {
+	if m.pauses == 0 || startedAt.After(m.pausedAt) {
+		m.pause(now, ResultSilent)
+	}
+}
+
 // pause excludes the endpoint from selection after a result, for longer each time.
 func (m *member) pause(now time.Time, r Result) {
 	m.pausedAt, m.pausedUntil = now, now.Add(min(minPause<<min(m.pauses, 8), maxPause))
