Do not take a slow caller for a silent endpoint

Cause: the time in which an event is written to the caller counted as silence of its endpoint, though nothing was read from it meanwhile.

--- a/internal/forwarder/replacement_test.go
+++ b/internal/forwarder/replacement_test.go
@@ -1,8 +1,14 @@
 package forwarder_test
 
 import (
+	"bufio"
+	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -160,3 +166,43 @@
 		})
 	}
 }
+
+const (
+	largeEventBytes  = 32 << 10
+	largeEvents      = 40
+	socketBufferSize = 64 << 10
+)
+
+// TestSlowCallerIsNoSilentEndpoint guards against moving a sound stream whose caller does not
+// read for a while.
+func TestSlowCallerIsNoSilentEndpoint(t *testing.T) {
+	is := is.New(t)
+	var want strings.Builder
+	for i := range largeEvents {
+		_, _ = fmt.Fprintf(&want, "id: %d\ndata: %s\n\n", i+1, strings.Repeat("x", largeEventBytes))
+	}
+	h := respondWith(want.String())
+	a, b := newEndpoint(t, h), newEndpoint(t, h)
+	f := newTestForwarder(t, a, b)
+	dispatchWhileRunning(t, f)
+	server := httptest.NewUnstartedServer(f.forwarder)
+	server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		_ = c.(*net.TCPConn).SetWriteBuffer(socketBufferSize)
+		return ctx
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	is.NoErr(conn.(*net.TCPConn).SetReadBuffer(socketBufferSize))
+	_, err = io.WriteString(conn, "POST /steady/1 HTTP/1.1\r\nHost: h\r\nId: r1\r\nDeadline: 5s\r\nContent-Length: 0\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(callerIdleTimeout)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.True(string(body) == want.String())
+	is.Equal(a.runs.Load()+b.runs.Load(), int32(1))
+}
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -166,7 +166,7 @@
 	sw.nextScan = now.Add(silenceScanInterval)
 	for _, s := range sw.detector.Check(now) {
 		w := sw.attempts[s.ID]
-		if w.replaced || w.current() != nil || !w.call.mayRepeat() {
+		if w.isDelivering || w.replaced || w.current() != nil || !w.call.mayRepeat() {
 			continue
 		}
 		rep := newReplacement(w.call)
