--- a/internal/forwarder/replacement_test.go
+++ b/internal/forwarder/replacement_test.go
@@ -53,13 +53,13 @@
 // pauses, because it is given up before another endpoint can go on with it.
 func TestMoveLosesRunningAnswer(t *testing.T) {
 	seconds := map[string]handler{
-		"refuses":        status(http.StatusServiceUnavailable, true),
-		"fails":          status(http.StatusInternalServerError, false),
-		"closes":         abortAfter(""),
-		"breaks off":     abortAfter("id: 3\nda"),
-		"stays silent":   hangUntilDisconnect,
-		"is not signed":  func(_ *endpoint, w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, event(3)) },
-		"denies":         status(http.StatusNotFound, false),
+		"refuses":       status(http.StatusServiceUnavailable, true),
+		"fails":         status(http.StatusInternalServerError, false),
+		"closes":        abortAfter(""),
+		"breaks off":    abortAfter("id: 3\nda"),
+		"stays silent":  hangUntilDisconnect,
+		"is not signed": func(_ *endpoint, w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, event(3)) },
+		"denies":        status(http.StatusNotFound, false),
 	}
 	tests := map[string]struct {
 		route string
@@ -73,6 +73,9 @@
 	}
 	for name, tt := range tests {
 		for second, h := range seconds {
+			if second == "sends no event" && tt.route == "whole" {
+				continue // an empty body is a whole answer
+			}
 			t.Run(name+", second endpoint "+second, func(t *testing.T) {
 				t.Parallel()
 				is := is.New(t)
