Log the end of an endpoint's backoff; test the counters of advice

It is logged within a second, by one pass over the endpoints a second. TestAdviceIsCountedAndLogged fails without the event.

--- a/internal/forwarder/advice.go
+++ b/internal/forwarder/advice.go
@@ -32,6 +32,24 @@
 	}
 }
 
+// logEndedBackoffs logs the endpoints that accept requests again. It checks now and then only,
+// as it goes through all endpoints. It must not be called concurrently.
+func (f *Forwarder) logEndedBackoffs(now time.Time) {
+	if now.Before(f.nextBackoffCheck) {
+		return
+	}
+	f.nextBackoffCheck = now.Add(backoffCheckInterval)
+	f.dispatchers.each(func(dp *dispatcher) {
+		for _, id := range dp.endedBackoffs(now) {
+			logger.Log(f.cfg.Logger, logger.EndpointBackoffEnded, zap.String("endpoint", id))
+		}
+	})
+}
+
+// backoffCheckInterval is the time between checks for ended backoffs, and the delay of their
+// log lines at most.
+const backoffCheckInterval = time.Second
+
 // adviceProblemInterval is the time between log lines about one endpoint's headers.
 const adviceProblemInterval = time.Minute
 
--- a/internal/forwarder/advice_test.go
+++ b/internal/forwarder/advice_test.go
@@ -4,8 +4,11 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/internal/logger"
 )
 
 // saying answers like next, with a header by which the endpoint says something about itself.
@@ -54,3 +57,51 @@
 		})
 	}
 }
+
+// TestAdviceIsCountedAndLogged checks that what an endpoint says about the requests that it
+// accepts can be found in the metrics and the log, from its begin to its end.
+func TestAdviceIsCountedAndLogged(t *testing.T) {
+	tests := map[string]struct {
+		answers []handler
+		metric  string
+		count   string
+		// events are the names and the numbers of the log lines.
+		events map[string]int
+		// kept is the number of further requests that are kept from the endpoint.
+		kept string
+	}{
+		"leaving": {
+			answers: []handler{saying("Leaving", "1", respondWith("yes"))},
+			metric:  "endpoints_leaving", count: "1", events: map[string]int{logger.EndpointLeaving.Name: 1}, kept: "1",
+		},
+		"backoff": {
+			answers: []handler{saying("Backoff", "300ms", status(http.StatusServiceUnavailable, true))},
+			metric:  "endpoint_backoffs", count: "1", events: map[string]int{logger.EndpointBackoff.Name: 1, logger.EndpointBackoffEnded.Name: 1}, kept: "1",
+		},
+		"limit": {
+			answers: []handler{saying("Limit", "0.1", respondWith("yes")), respondWith("yes")},
+			metric:  "endpoint_limits_changed", count: "1", events: map[string]int{logger.EndpointLimited.Name: 1}, kept: "1",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newTestForwarder(t, newEndpoint(t, inOrder(tt.answers...)))
+			f.forwarder.DispatchWaiting(time.Now())
+			f.call(t.Context(), t, "unsafe")
+			is.Equal(f.call(t.Context(), t, "unsafe").status, http.StatusServiceUnavailable)
+			is.Equal(metric(f, tt.metric), tt.count)
+			is.Equal(metric(f, "requests_kept_from_endpoints"), tt.kept)
+			for range 2 {
+				f.forwarder.DispatchWaiting(time.Now().Add(2 * backoffLogDelay))
+			}
+			for event, n := range tt.events {
+				is.Equal(f.logs.FilterMessage(event).Len(), n)
+			}
+		})
+	}
+}
+
+// backoffLogDelay is longer than the end of a backoff takes to be logged.
+const backoffLogDelay = time.Second
--- a/internal/forwarder/dispatcher.go
+++ b/internal/forwarder/dispatcher.go
@@ -151,6 +151,12 @@
 	return before, after
 }
 
+func (dp *dispatcher) endedBackoffs(now time.Time) []string {
+	dp.mu.Lock()
+	defer dp.mu.Unlock()
+	return dp.balancer.EndedBackoffs(now)
+}
+
 func (dp *dispatcher) retryWaiting(now time.Time) {
 	dp.mu.Lock()
 	defer dp.mu.Unlock()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -104,6 +104,8 @@
 	silence            silenceWatch
 	adviceProblems     adviceProblems
 	answerMemory       answerMemory
+	// nextBackoffCheck is used by DispatchWaiting only.
+	nextBackoffCheck time.Time
 
 	inFlight   atomic.Int64
 	draining   atomic.Bool
@@ -173,9 +175,10 @@
 
 // DispatchWaiting retries to dispatch the waiting requests and replaces the attempts whose
 // endpoint has fallen silent. It has to be called regularly, since neither the end of an endpoint's
-// pause nor silence causes an event.
+// pause nor silence causes an event, and not concurrently.
 func (f *Forwarder) DispatchWaiting(now time.Time) {
 	f.replaceSilent(now)
+	f.logEndedBackoffs(now)
 	f.dispatchers.each(func(dp *dispatcher) { dp.retryWaiting(now) })
 }
 
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -92,6 +92,8 @@
 		"An endpoint said in an answer that it is leaving. It gets no more requests from this entry until it starts anew, whatever the list says.")
 	EndpointBackoff = register(2116, "endpoint_backoff", zapcore.InfoLevel,
 		"An endpoint turned a request away and wants no more of this entry for the time in `backoff`.")
+	EndpointBackoffEnded = register(2120, "endpoint_backoff_ended", zapcore.InfoLevel,
+		"The backoff of an endpoint is over, so that this entry sends it requests again. Logged up to a second later.")
 	AdviceUnreadable = register(2117, "advice_unreadable", zapcore.WarnLevel,
 		"An endpoint's answer has a header about the requests that it accepts which is not plausible. It is ignored; `problem` names it. Logged once per endpoint and minute.")
 	EndpointLimited = register(2114, "endpoint_limited", zapcore.InfoLevel,
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -64,6 +64,8 @@
 	// maxSenders is the highest number of senders so far. The missing ones may only be
 	// unreachable from here, and still send to the endpoints.
 	maxSenders int
+	// backoffsCheckedAt is the time of the last call of EndedBackoffs.
+	backoffsCheckedAt time.Time
 	// startedAt holds the start times of in-flight requests, by request ID.
 	startedAt map[uint64]time.Time
 	// meanDuration is the moving average of the time from start to end.
@@ -146,6 +148,17 @@
 	return before, *advice
 }
 
+// EndedBackoffs returns the endpoints whose backoff has ended since the last call.
+func (b *Balancer) EndedBackoffs(now time.Time) (ids []string) {
+	for _, m := range b.memberList {
+		if end := m.advice.BackoffEnd(); end.After(b.backoffsCheckedAt) && !end.After(now) {
+			ids = append(ids, m.ID)
+		}
+	}
+	b.backoffsCheckedAt = now
+	return ids
+}
+
 // limitShare returns the share that this process has of an endpoint's limit.
 func (b *Balancer) limitShare(now time.Time, home Home) float64 {
 	senders := b.maxSenders
