Replace a replacement that falls silent

What callers saw: if the endpoint of a replacement fell silent too, as where several are suspended at once, the request stayed with the two until the caller's deadline, although the route allows a third send and a third endpoint was free. It was the same if the first endpoint closed the connection meanwhile, because the call then awaited the silent replacement.

Cause: the attempt of a replacement was not watched, and only one replacement may run at a time.

Now the attempt of a replacement is watched like any other, so that another one replaces it in the same way. The limit of sends holds for all of them, since each copy of the call counts those before.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -62,8 +62,6 @@
 	headerSent      bool
 	// watched is the current attempt while it may be replaced by another one; nil if it may not.
 	watched *watchedAttempt
-	// isReplacement is set for the copy of a call that a replacement uses.
-	isReplacement bool
 }
 
 // regions returns the regions whose endpoints may run the request; nil for all. Both the route
--- a/internal/forwarder/replacement.go
+++ b/internal/forwarder/replacement.go
@@ -9,7 +9,8 @@
 )
 
 // replacement is an attempt that is to replace one whose endpoint has fallen silent. A sound
-// endpoint may pause and go on, so both run until one of them has output.
+// endpoint may pause and go on, so both run until one of them has output. If its own endpoint
+// falls silent too, another one replaces it in the same way.
 type replacement struct {
 	// call is a copy of the call, which belongs to the replacement.
 	call   *call
@@ -30,7 +31,6 @@
 func newReplacement(c call) *replacement {
 	rep := &replacement{call: &c, sendsBefore: c.sendCount, triedBefore: len(c.triedEndpoints), done: make(chan struct{})}
 	c.triedEndpoints = slices.Clone(c.triedEndpoints)
-	c.isReplacement = true
 	c.ctx, rep.cancel = context.WithCancelCause(c.ctx)
 	return rep
 }
@@ -56,21 +56,24 @@
 func (f *Forwarder) runReplacement(w *watchedAttempt, rep *replacement, r balancer.Request) {
 	defer close(rep.done)
 	a := f.sendReplacement(w, rep, r)
-	if a == nil {
-		f.silence.recordFailedReplacement(w, rep)
-		return
-	}
-	if f.replace(w, rep, a) {
+	if a != nil && f.replace(w, rep, a) {
 		rep.attempt = a
 		return
 	}
+	for ; a != nil; a = f.awaitReplacement(rep.call) {
+		f.discardAttempt(a)
+	}
+	f.silence.recordFailedReplacement(w, rep)
+}
+
+// discardAttempt ends an attempt whose answer is not used.
+func (f *Forwarder) discardAttempt(a *attempt) {
 	result := balancer.ResultCanceled
 	if a.answer.Status >= http.StatusInternalServerError {
 		result = balancer.ResultFailed
 	}
 	f.endAttempt(a, result)
 	a.body.release(&f.answerMemory)
-	f.silence.recordFailedReplacement(w, rep)
 }
 
 // sendReplacement returns an attempt with an answer that can be forwarded, or nil.
@@ -90,7 +93,7 @@
 	a, fail := f.sendAttempt(c, d)
 	if fail != nil {
 		f.recordFailure(c, d, fail)
-		return nil
+		return f.awaitReplacement(c)
 	}
 	return a
 }
@@ -166,10 +169,7 @@
 	a.call = c
 	c.endpoint, c.sentAt, c.lastOutputAt = rep.call.endpoint, rep.call.sentAt, rep.call.lastOutputAt
 	c.weightsVersion, c.suspects = rep.call.weightsVersion, rep.call.suspects
-	if c.mayRepeat() {
-		c.watched = &watchedAttempt{id: a.request, endpoint: a.endpoint.ID, call: c.withTried(a.endpoint.ID), hasOutput: true, isDelivering: true, cancel: rep.cancel}
-		f.silence.add(f.cfg.Clock(), c.watched)
-	}
+	c.watched = rep.call.watched
 }
 
 // recordReplacement adds the sends of a replacement that has ended to those of its call.
--- /dev/null
+++ b/internal/forwarder/replacement_end_test.go
@@ -0,0 +1,78 @@
+package forwarder_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"flamingoledge.org/flamingoledge/internal/forwarder"
+	"flamingoledge.org/flamingoledge/pkg/resolver"
+)
+
+// setMaxAttempts sets the limit of sends of all routes.
+func setMaxAttempts(f *testForwarder, n int) {
+	cfg := configuration()
+	for i := range cfg.Routes {
+		cfg.Routes[i].MaxAttempts = n
+	}
+	f.updateState(func(s *forwarder.RoutingState) { s.Table = resolver.New(cfg) })
+}
+
+// afterPause runs a handler after a pause.
+func afterPause(pause time.Duration, h handler) handler {
+	return func(e *endpoint, w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(pause)
+		h(e, w, r)
+	}
+}
+
+// breakOffAfterPause sends the first bytes of a stream and closes the connection after a pause.
+func breakOffAfterPause(prefix string) handler {
+	return func(e *endpoint, w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		e.runs.Add(1)
+		w.Header().Set("Stamp", "s")
+		_, _ = io.WriteString(w, prefix)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(pauseLength)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// TestSilentReplacementIsReplaced guards against callers that give up because the second
+// endpoint has fallen silent too.
+func TestSilentReplacementIsReplaced(t *testing.T) {
+	tests := map[string]struct {
+		route    string
+		handlers []handler
+		body     string
+	}{
+		"stream between events":         {route: "steady", handlers: []handler{silentAfter(events(1, 2)), hangUntilDisconnect, streamUpTo(6)}, body: events(1, 6)},
+		"stream before its first event": {route: "steady", handlers: []handler{silentAfter(""), hangUntilDisconnect, streamUpTo(6)}, body: events(1, 6)},
+		"whole answer":                  {route: "whole", handlers: []handler{hangUntilDisconnect, hangUntilDisconnect, respondWith("yes")}, body: "yes"},
+		"the first one closes":          {route: "steady", handlers: []handler{breakOffAfterPause(events(1, 2)), hangUntilDisconnect, streamUpTo(6)}, body: events(1, 6)},
+		"the first one goes on":         {route: "steady", handlers: []handler{pauseOnce(events(1, 2), events(3, 6), 2*pauseLength), hangUntilDisconnect, hangUntilDisconnect}, body: events(1, 6)},
+		"the second one goes on":        {route: "steady", handlers: []handler{silentAfter(events(1, 2)), pauseOnce("", events(3, 6), pauseLength), hangUntilDisconnect}, body: events(1, 6)},
+		"the third one fails":           {route: "steady", handlers: []handler{silentAfter(events(1, 2)), pauseOnce("", events(3, 6), pauseLength), abortAfter("")}, body: events(1, 6)},
+		"the third one is replaced":     {route: "steady", handlers: []handler{silentAfter(events(1, 2)), hangUntilDisconnect, silentAfter(events(3, 4)), streamUpTo(6)}, body: events(1, 6)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := inOrder(tt.handlers...)
+			f := newTestForwarder(t, newEndpoint(t, h), newEndpoint(t, h), newEndpoint(t, h), newEndpoint(t, h))
+			setMaxAttempts(f, len(tt.handlers))
+			dispatchWhileRunning(t, f)
+			got := f.call(t.Context(), t, tt.route, "Deadline", "5s")
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(got.aborted, false)
+			is.Equal(got.body, tt.body)
+			waitFor(t, func() bool { return f.forwarder.InFlight() == 0 })
+		})
+	}
+}
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -70,9 +70,6 @@
 // endpoint. Attempts that must not be repeated are not watched. end has to be called for
 // each watched attempt.
 func (sw *silenceWatch) watch(now time.Time, c *call, d balancer.Decision) context.Context {
-	if c.isReplacement {
-		return c.ctx
-	}
 	c.watched = nil
 	next := c.withTried(d.Endpoint.ID)
 	next.sendCount++
@@ -81,15 +78,11 @@
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	c.watched = &watchedAttempt{id: d.ID, endpoint: d.Endpoint.ID, call: next, cancel: cancel}
-	sw.add(now, c.watched)
-	return ctx
-}
-
-func (sw *silenceWatch) add(now time.Time, w *watchedAttempt) {
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
-	sw.detector.Start(now, w.id, w.call.idleTimeout(now))
-	sw.attempts[w.id] = w
+	sw.detector.Start(now, d.ID, next.idleTimeout(now))
+	sw.attempts[d.ID] = c.watched
+	return ctx
 }
 
 // recordOutput records that a part of an attempt's answer has arrived, and stops the attempt
