Do not refuse a request whose replacement has run

What callers saw: 503, which promises that the request has not run and never will, although another endpoint had run it: the silent one refused in the end (not run), and the run of its replacement, which had failed before, was forgotten. Only requests that may be repeated are replaced, so REFUSED does not name it; a refusal of what has run to a good end is priced.

Cause: the outcome of a replacement stayed in its copy of the call.

TestRunOfReplacementIsNotRefused: 4 of 4 cases get 503 before, 502 after (1 run each, race detector); passes on.

--- a/internal/forwarder/replacement.go
+++ b/internal/forwarder/replacement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 
@@ -68,6 +69,7 @@
 
 // discardAttempt ends an attempt whose answer is not used.
 func (f *Forwarder) discardAttempt(a *attempt) {
+	a.call.unknownOutcome = fmt.Errorf("an answer with status %d was not used", a.answer.Status)
 	result := balancer.ResultCanceled
 	if a.answer.Status >= http.StatusInternalServerError {
 		result = balancer.ResultFailed
@@ -174,6 +176,9 @@
 
 // recordReplacement adds the sends of a replacement that has ended to those of its call.
 func (c *call) recordReplacement(rep *replacement) {
+	if rep.call.unknownOutcome != nil {
+		c.unknownOutcome = rep.call.unknownOutcome
+	}
 	c.sendCount += rep.call.sendCount - rep.sendsBefore
 	c.triedEndpoints = append(c.triedEndpoints, rep.call.triedEndpoints[rep.triedBefore:]...)
 	if c.suspects.probed == nil {
--- a/internal/forwarder/replacement_end_test.go
+++ b/internal/forwarder/replacement_end_test.go
@@ -76,3 +76,30 @@
 		})
 	}
 }
+
+// TestRunOfReplacementIsNotRefused guards against refusals, which promise that nothing has run,
+// after a replacement has run.
+func TestRunOfReplacementIsNotRefused(t *testing.T) {
+	tests := map[string]handler{
+		"closes":      abortAfter(""),
+		"fails":       status(http.StatusInternalServerError, false),
+		"closes late": afterPause(500*time.Millisecond, abortAfter("")),
+		"is not signed": func(e *endpoint, w http.ResponseWriter, _ *http.Request) {
+			e.runs.Add(1)
+			_, _ = io.WriteString(w, "x")
+		},
+	}
+	for name, second := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := inOrder(afterPause(pauseLength+300*time.Millisecond, status(http.StatusServiceUnavailable, true)), second)
+			a, b := newEndpoint(t, h), newEndpoint(t, h)
+			f := newTestForwarder(t, a, b)
+			dispatchWhileRunning(t, f)
+			got := f.call(t.Context(), t, "whole")
+			is.Equal(a.runs.Load()+b.runs.Load(), int32(1))
+			is.Equal(got.status, http.StatusBadGateway)
+		})
+	}
+}
