Do not replace a request again whose replacement crashed an endpoint

What operators saw: a request that may not be repeated after a crash (MayRepeat: one more may convict it) was sent to a third endpoint after the second one had crashed under it, because the first one, silent, was to be replaced again. A usual retry asks MayRepeat before.

TestNoReplacementAfterCrash: 3 runs before, 2 after (1 run each, race detector); passes on.

--- a/internal/forwarder/replacement.go
+++ b/internal/forwarder/replacement.go
@@ -81,6 +81,9 @@
 // sendReplacement returns an attempt with an answer that can be forwarded, or nil.
 func (f *Forwarder) sendReplacement(w *watchedAttempt, rep *replacement, r balancer.Request) *attempt {
 	c := rep.call
+	if !f.mayRepeatAfterCrash(c) {
+		return nil
+	}
 	dp := f.dispatchers.get(c.service)
 	d, err := dp.awaitDecision(c.ctx, f.cfg.Clock, r)
 	if err != nil || d.Outcome != balancer.OutcomeStarted {
@@ -213,4 +216,5 @@
 	defer sw.mu.Unlock()
 	w.call.sendCount = rep.call.sendCount
 	w.call.triedEndpoints = slices.Clone(rep.call.triedEndpoints)
+	w.call.suspects.probed = rep.call.suspects.probed
 }
--- a/internal/forwarder/replacement_end_test.go
+++ b/internal/forwarder/replacement_end_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"flamingoledge.org/flamingoledge/internal/forwarder"
+	"flamingoledge.org/flamingoledge/pkg/quarantiner"
 	"flamingoledge.org/flamingoledge/pkg/resolver"
 )
 
@@ -103,3 +104,25 @@
 		})
 	}
 }
+
+// crashesOnce is a forwarder.CrashRegistry that allows no repetition after a crash.
+type crashesOnce struct{ noCrashes }
+
+func (crashesOnce) MayRepeat([]quarantiner.Key) bool { return false }
+
+// TestNoReplacementAfterCrash guards against a request that crashes one endpoint after another
+// while the first one is silent.
+func TestNoReplacementAfterCrash(t *testing.T) {
+	is := is.New(t)
+	crash := func(e *endpoint, w http.ResponseWriter, r *http.Request) {
+		_ = e.server.Listener.Close()
+		abortAfter("")(e, w, r)
+	}
+	h := inOrder(hangUntilDisconnect, crash, respondWith("yes"))
+	a, b, c := newEndpoint(t, h), newEndpoint(t, h), newEndpoint(t, h)
+	f := newTestForwarderWithCrashes(t, crashesOnce{}, a, b, c)
+	setMaxAttempts(f, 3)
+	dispatchWhileRunning(t, f)
+	f.call(t.Context(), t, "whole")
+	is.Equal(a.runs.Load()+b.runs.Load()+c.runs.Load(), int32(2))
+}
