Let the end of a stream come from a replacement

What callers saw: if an endpoint fell silent after the last event and before the end of its stream, the replacement, which had no event left to send, counted as a failure, and the stream stayed open until the caller's deadline.

Now a complete stream without events replaces the silent one if it was resumed and its end is told from that of its connection. It must be signed, as before. An endpoint that answers a resumed stream with a wrong end would still cut it; one that sends none, or has a framed end only before the first event, does not.

--- a/internal/forwarder/replacement.go
+++ b/internal/forwarder/replacement.go
@@ -142,9 +142,12 @@
 }
 
 // hasUsefulOutput reports whether the answer of an attempt succeeds where another attempt may
-// still do so.
+// still do so. A stream that is resumed may have no more events.
 func (a *attempt) hasUsefulOutput() bool {
-	return isSuccess(a.answer.Status) && (a.events == nil || a.firstEvents.count > 0)
+	if !isSuccess(a.answer.Status) {
+		return false
+	}
+	return a.events == nil || a.firstEvents.count > 0 || a.events.atEnd && a.answer.IsFramed() && a.call.LastEventID != ""
 }
 
 // awaitReplacement returns the attempt with which a call goes on whose attempt has ended
--- a/internal/forwarder/replacement_end_test.go
+++ b/internal/forwarder/replacement_end_test.go
@@ -126,3 +126,36 @@
 	f.call(t.Context(), t, "whole")
 	is.Equal(a.runs.Load()+b.runs.Load()+c.runs.Load(), int32(2))
 }
+
+// TestEndOfStreamIsReplaced guards against callers that have all events of a stream and wait for
+// its end, and against an end that is none.
+func TestEndOfStreamIsReplaced(t *testing.T) {
+	unframed := func(e *endpoint, w http.ResponseWriter, _ *http.Request) {
+		e.runs.Add(1)
+		w.Header().Set("Stamp", "s")
+		w.Header().Set("Transfer-Encoding", "identity")
+		_ = http.NewResponseController(w).Flush()
+	}
+	tests := map[string]struct {
+		first, second handler
+		body          string
+		within        time.Duration
+	}{
+		"no event is left":                 {first: silentAfter(events(1, 6)), second: streamUpTo(6), body: events(1, 6), within: callerIdleTimeout},
+		"connection ends without an event": {first: pauseOnce(events(1, 2), events(3, 6), pauseLength), second: unframed, body: events(1, 6), within: testTimeout},
+		"no event at all":                  {first: pauseOnce("", events(1, 6), pauseLength), second: respondWith(""), body: events(1, 6), within: testTimeout},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := inOrder(tt.first, tt.second)
+			f := newTestForwarder(t, newEndpoint(t, h), newEndpoint(t, h))
+			dispatchWhileRunning(t, f)
+			got := f.call(t.Context(), t, "steady")
+			is.Equal(got.aborted, false)
+			is.Equal(got.body, tt.body)
+			is.True(got.elapsed < tt.within)
+		})
+	}
+}
