Keep a fault in a replacement from ending the process

A replacement runs in a goroutine of its own, where no handler recovers a panic, so one request's fault would end the process with all requests in progress. It is logged and counted now like that of a handler, and the request stays where it is.

TestPanicOfReplacement: the test process ends before, passes after (1 run, race detector). Found by reading. The slot of the attempt stays taken after such a panic, as after one of a handler.

--- a/internal/forwarder/problem.go
+++ b/internal/forwarder/problem.go
@@ -106,9 +106,14 @@
 	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 		panic(http.ErrAbortHandler)
 	}
+	f.recordPanic(c, cause)
+	f.writeProblem(w, c, &Problem{Status: http.StatusBadGateway, Code: CodeUnknownOutcome, Message: "internal error; the request may have run"})
+}
+
+// recordPanic counts and logs a fault of this program.
+func (f *Forwarder) recordPanic(c *call, cause any) {
 	f.cfg.Metrics.Add("handler_panics", 1)
 	logger.Log(f.cfg.Logger, logger.HandlerPanicked, append(f.logFields(c), zap.Any("panic", cause), zap.Stack("stack"))...)
-	f.writeProblem(w, c, &Problem{Status: http.StatusBadGateway, Code: CodeUnknownOutcome, Message: "internal error; the request may have run"})
 }
 
 // logFields returns the log fields that identify a call and its state.
--- a/internal/forwarder/replacement.go
+++ b/internal/forwarder/replacement.go
@@ -56,6 +56,11 @@
 // silent attempt is canceled once the other one has output, and goes on if there is none.
 func (f *Forwarder) runReplacement(w *watchedAttempt, rep *replacement, r balancer.Request) {
 	defer close(rep.done)
+	defer func() {
+		if cause := recover(); cause != nil {
+			f.recordPanic(rep.call, cause)
+		}
+	}()
 	a := f.sendReplacement(w, rep, r)
 	if a != nil && f.replace(w, rep, a) {
 		rep.attempt = a
--- a/internal/forwarder/replacement_end_test.go
+++ b/internal/forwarder/replacement_end_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -159,3 +160,28 @@
 		})
 	}
 }
+
+// panickingCrashes is a forwarder.CrashRegistry that panics when a replacement is checked.
+type panickingCrashes struct {
+	noCrashes
+	judged atomic.Int32
+}
+
+func (p *panickingCrashes) Judge([]quarantiner.Key) (v quarantiner.Verdict) {
+	// A request is checked once before it waits and once before each send.
+	if p.judged.Add(1) == 3 {
+		panic("test")
+	}
+	return v
+}
+
+// TestPanicOfReplacement guards against a fault in one request that ends the process.
+func TestPanicOfReplacement(t *testing.T) {
+	is := is.New(t)
+	h := inOrder(pauseOnce("", "yes", pauseLength+300*time.Millisecond), respondWith("other"))
+	f := newTestForwarderWithCrashes(t, &panickingCrashes{}, newEndpoint(t, h), newEndpoint(t, h))
+	dispatchWhileRunning(t, f)
+	got := f.call(t.Context(), t, "whole")
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(metric(f, "handler_panics"), "1")
+}
