Use an endpoint again once it goes on after a failed replacement

What callers saw: an endpoint that had paused within a stream and gone on was left out for as long as a request was in progress there, if the replacement had failed before: requests were refused although it had free slots. Cause: only an output while a replacement ran took back that the endpoint counts as silent.

The dispatcher is told in the order in which the silence and the output happened, too: before, an output between the decision to send and the record of the silence left a sound endpoint paused (by reading).

--- a/internal/forwarder/replacement.go
+++ b/internal/forwarder/replacement.go
@@ -99,7 +99,6 @@
 		dp.recordEnd(f.cfg.Clock(), d.Endpoint.ID, d.ID, balancer.ResultCanceled)
 		return nil
 	}
-	dp.recordSilence(f.cfg.Clock(), w.endpoint, w.id)
 	a, fail := f.sendAttempt(c, d)
 	if fail != nil {
 		f.recordFailure(c, d, fail)
@@ -120,6 +119,8 @@
 	}
 	rep.isSent = f.allowReplacement(now, rep.call, w.hasOutput)
 	if rep.isSent {
+		w.isSilent = true
+		f.dispatchers.get(rep.call.service).recordSilence(now, w.endpoint, w.id)
 		f.cfg.Metrics.Add("replacements_sent", 1)
 	}
 	return rep.isSent
--- a/internal/forwarder/replacement_end_test.go
+++ b/internal/forwarder/replacement_end_test.go
@@ -185,3 +185,37 @@
 	is.Equal(got.status, http.StatusOK)
 	is.Equal(metric(f, "handler_panics"), "1")
 }
+
+// TestEndpointIsUsedAfterItGoesOn guards against an endpoint that is left out although it has
+// gone on, because what was to replace its answer has ended before.
+func TestEndpointIsUsedAfterItGoesOn(t *testing.T) {
+	const last, eventPeriod = 20, 100 * time.Millisecond
+	is := is.New(t)
+	var first atomic.Pointer[endpoint]
+	h := func(e *endpoint, w http.ResponseWriter, r *http.Request) {
+		switch {
+		case first.CompareAndSwap(nil, e):
+			w.Header().Set("Stamp", "s")
+			_, _ = io.WriteString(w, event(1))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(pauseLength)
+			for i := 2; i <= last; i++ {
+				_, _ = io.WriteString(w, event(i))
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(eventPeriod)
+			}
+		case first.Load() == e:
+			respondWith("yes")(e, w, r)
+		default:
+			status(http.StatusServiceUnavailable, true)(e, w, r)
+		}
+	}
+	f := newTestForwarder(t, newEndpoint(t, h), newEndpoint(t, h))
+	dispatchWhileRunning(t, f)
+	stream := make(chan reply, 1)
+	go func() { stream <- f.call(t.Context(), t, "steady", "Id", "stream", "Deadline", "6s") }()
+	time.Sleep(pauseLength + 800*time.Millisecond)
+	got := f.call(t.Context(), t, "unsafe", "Id", "later")
+	is.Equal(got.status, http.StatusOK)
+	is.Equal((<-stream).body, events(1, last))
+}
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -28,6 +28,8 @@
 	// call is a copy of the call as an attempt at another endpoint would continue it.
 	call      call
 	hasOutput bool
+	// isSilent is set while the dispatcher counts the endpoint as silent.
+	isSilent bool
 	// isDelivering is set while output is sent to the caller and none is read.
 	isDelivering bool
 	cancel       context.CancelCauseFunc
@@ -98,13 +100,13 @@
 	if w.replaced {
 		return false, false
 	}
+	wasSilent, w.isSilent = w.isSilent, false
 	w.hasOutput, w.isDelivering = true, true
 	sw.detector.RecordOutput(now, id)
 	if rep := w.current(); rep != nil {
 		rep.cancel(context.Canceled)
-		return true, rep.isSent
 	}
-	return true, false
+	return true, wasSilent
 }
 
 // recordDelivery records that the output that was read has been sent to the caller.
