Deliver an endpoint's failure if no other attempt has an answer

What callers saw: a safe request whose endpoint had answered 500 got the entry's own 502 or 504, up to its whole timeout later, if the retry found no slot, was refused, failed or hung; so did a silent endpoint's 500 whose replacement failed after it.

The answer is held until another attempt has one, with its memory counted.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -35,26 +35,48 @@
 
 // runAttempts makes attempts until one has an answer to forward or no other attempt is
 // allowed.
-func (f *Forwarder) runAttempts(c *call) (*attempt, *Problem) {
+func (f *Forwarder) runAttempts(c *call) (a *attempt, p *Problem) {
+	// failed is the last attempt whose answer is a failure.
+	var failed *attempt
+	defer func() {
+		if failed != nil && a != failed {
+			failed.body.release(&f.answerMemory)
+		}
+	}()
 	for {
 		d, p := f.acquireEndpoint(c)
 		if p != nil {
-			return nil, p
+			return failed.unless(p)
 		}
 		a, fail := f.sendAttempt(c, d)
 		if fail == nil {
 			return a, nil
 		}
 		f.recordFailure(c, d, fail)
+		if fail.hasAnswer {
+			if failed != nil {
+				failed.body.release(&f.answerMemory)
+			}
+			a.ended, failed = true, a
+		}
 		if next := f.awaitReplacement(c); next != nil {
 			return next, nil
 		}
 		if p = f.prepareRetry(c, fail); p != nil {
-			return nil, p
+			return failed.unless(p)
 		}
 	}
 }
 
+// unless returns an attempt whose answer is a failure instead of a problem, or the problem if
+// there is no such attempt or nobody to answer.
+func (a *attempt) unless(p *Problem) (*attempt, *Problem) {
+	if a == nil || p.CallerDisconnected {
+		return nil, p
+	}
+	return a, nil
+}
+
 // maxLateWait bounds the queueing time of a request that can no longer meet its
 // latency objective. It gets only the slots that other requests leave free.
 const maxLateWait = 120 * time.Millisecond
@@ -66,7 +88,9 @@
 	a = &attempt{call: c, dispatcher: f.dispatchers.get(c.service), request: d.ID, endpoint: d.Endpoint}
 	defer func() {
 		if fail != nil {
-			a.body.release(&f.answerMemory)
+			if !fail.hasAnswer {
+				a.body.release(&f.answerMemory)
+			}
 			f.silence.end(a.request)
 		}
 	}()
@@ -179,7 +203,7 @@
 	}
 	sends, isReplaced := f.silence.sendCount(c)
 	if isReplaced {
-		return &failure{result: balancer.ResultFailed, mayHaveRun: true, sent: true, cause: fmt.Errorf("endpoint failed with status %d", a.answer.Status)}
+		return &failure{result: balancer.ResultFailed, mayHaveRun: true, sent: true, hasAnswer: true, cause: fmt.Errorf("endpoint failed with status %d", a.answer.Status)}
 	}
 	if c.route.Kind != resolver.KindSafe || sends >= c.route.MaxAttempts {
 		return nil
@@ -188,7 +212,7 @@
 	if _, refusal := f.retryBudgets.get(now, c.service).AllowRetry(now, c.answerDeadline, c.sendCount); refusal != retrier.RefusalNone {
 		return nil
 	}
-	return &failure{result: balancer.ResultFailed, mayHaveRun: true, sent: true, cause: errRetryGranted}
+	return &failure{result: balancer.ResultFailed, mayHaveRun: true, sent: true, hasAnswer: true, cause: errRetryGranted}
 }
 
 func isSuccess(status int) bool {
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -21,8 +21,11 @@
 	mayHaveRun bool
 	// sent is set if the request was sent to the endpoint, so that a retry counts
 	// against the retry budget.
-	sent  bool
-	cause error
+	sent bool
+	// hasAnswer is set if the endpoint answered with a failure, which is delivered if there
+	// is no other answer.
+	hasAnswer bool
+	cause     error
 }
 
 // Error implements error.
--- a/internal/forwarder/replacement.go
+++ b/internal/forwarder/replacement.go
@@ -102,6 +102,7 @@
 	a, fail := f.sendAttempt(c, d)
 	if fail != nil {
 		f.recordFailure(c, d, fail)
+		a.body.release(&f.answerMemory)
 		return f.awaitReplacement(c)
 	}
 	return a
