Keep an endpoint in service while it fails to switch

Now, after an order that failed or was refused, the endpoint stays in service until the next one is issued. The first attempt is as before.

TestEndpointServesWhileItCannotSwitch fails before, passes after (1 run, race detector, with the package's other tests).

--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -79,15 +79,20 @@
 	// fetches are the running and the completed fetches by version.
 	fetches map[uint64]*fetch
 
-	// mu guards the fields below except switching.
+	// mu guards the fields below except switching and takenOut.
 	mu sync.Mutex
 	// switching is set while an order is being prepared or executed.
-	switching      atomic.Bool
+	switching atomic.Bool
+	// takenOut is set while the endpoint accepts no new requests because of that. After a
+	// failed order, it accepts them until the next one is issued.
+	takenOut       atomic.Bool
 	orderedAt      time.Time
 	orderedVersion uint64
 	// staging is set while chunks are staged, until the order has been issued.
 	staging bool
-	// noOrderBefore is the earliest time of the next order after a failed one.
+	// hasFailed is set if the last order failed before it was issued or was refused, and
+	// noOrderBefore is the earliest time of the next one then.
+	hasFailed     bool
 	noOrderBefore time.Time
 }
 
@@ -98,7 +103,7 @@
 
 // Switching reports whether the endpoint accepts no new requests because it is about to
 // load another version.
-func (s *Stager) Switching() bool { return s.switching.Load() }
+func (s *Stager) Switching() bool { return s.takenOut.Load() }
 
 // SetPlan replaces the plan.
 func (s *Stager) SetPlan(now time.Time, p Plan) {
@@ -176,15 +181,20 @@
 	case loaded == s.orderedVersion && !r.Loading:
 		logger.Log(s.cfg.Logger, logger.VersionServing, zap.String("model", s.plan.Model), zap.Uint64("version", loaded),
 			zap.Duration("taken", now.Sub(s.orderedAt)))
-		s.switching.Store(false)
+		s.endSwitch()
 	case r.Loading:
 		s.orderedAt = now
 	case now.Sub(s.orderedAt) > orderTimeout:
 		logger.Log(s.cfg.Logger, logger.OrderFailed, zap.Uint64("version", s.orderedVersion), zap.String("reason", "no effect"))
-		s.switching.Store(false)
+		s.endSwitch()
 	}
 }
 
+func (s *Stager) endSwitch() {
+	s.switching.Store(false)
+	s.takenOut.Store(false)
+}
+
 // startStaging begins a switch unless an order failed a moment before.
 func (s *Stager) startStaging(now time.Time, version uint64) bool {
 	s.mu.Lock()
@@ -194,6 +204,7 @@
 	}
 	s.orderedVersion, s.staging = version, true
 	s.switching.Store(true)
+	s.takenOut.Store(!s.hasFailed)
 	return true
 }
 
@@ -201,7 +212,8 @@
 func (s *Stager) recordOrder(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.orderedAt, s.staging = now, false
+	s.orderedAt, s.staging, s.hasFailed = now, false, false
+	s.takenOut.Store(true)
 }
 
 // loadVersion stages all chunks at the endpoint and orders it to load them. It stages
@@ -242,8 +254,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.noOrderBefore = s.cfg.Clock().Add(orderRetryDelay)
-	s.staging = false
-	s.switching.Store(false)
+	s.staging, s.hasFailed = false, true
+	s.endSwitch()
 }
 
 // complete returns the versions whose chunks are all held, with the time at which
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"flamingoledge.org/flamingoledge/internal/connector"
+	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/stager"
 	"flamingoledge.org/flamingoledge/internal/transferrer"
 	"flamingoledge.org/flamingoledge/pkg/planner"
@@ -43,8 +44,9 @@
 	e.mu.Lock()
 	e.staging++
 	e.stagedAtOnce = max(e.stagedAtOnce, e.staging)
+	stagingTime := e.stagingTime
 	e.mu.Unlock()
-	time.Sleep(e.stagingTime)
+	time.Sleep(stagingTime)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.staging--
@@ -263,3 +265,31 @@
 		})
 	}
 }
+
+// TestEndpointServesWhileItCannotSwitch guards against an endpoint that accepts no requests
+// while a version that it can't load yet is staged again and again.
+func TestEndpointServesWhileItCannotSwitch(t *testing.T) {
+	is := is.New(t)
+	weights := standin.NewWeights(model, chunks, chunkBytes, 2)
+	// No version can be staged within the maximum age of a staged chunk.
+	e := &endpoint{staged: map[int][]byte{}, loaded: 1, stagingTime: 300 * time.Millisecond}
+	log, logs := observer.New(zap.InfoLevel)
+	s, plan := newStager(t, e, weights, 2, 2*time.Second, zap.New(log))
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	s.SetPlan(time.Now(), plan)
+	for failures := 0; failures < 2; failures = logs.FilterMessage(logger.OrderFailed.Name).Len() {
+		is.NoErr(ctx.Err()) // two orders fail in time
+		s.Reconcile(ctx, time.Now(), e.report())
+		is.True(failures == 0 || !s.Switching())
+		time.Sleep(20 * time.Millisecond)
+	}
+	e.mu.Lock()
+	e.stagingTime = 0
+	e.mu.Unlock()
+	for loaded := uint64(1); loaded != 2; loaded = stager.LoadedVersion(e.report(), model) {
+		is.NoErr(ctx.Err()) // the version is loaded once it can be staged
+		s.Reconcile(ctx, time.Now(), e.report())
+		time.Sleep(20 * time.Millisecond)
+	}
+}
