--- a/internal/forwarder/replacement.go
+++ b/internal/forwarder/replacement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 
@@ -9,7 +10,8 @@
 )
 
 // replacement is an attempt that is to replace one whose endpoint has fallen silent. A sound
-// endpoint may pause and go on, so both run until one of them has output.
+// endpoint may pause and go on, so both run until one of them has output. If its own endpoint
+// falls silent too, another one replaces it in the same way.
 type replacement struct {
 	// call is a copy of the call, which belongs to the replacement.
 	call   *call
@@ -30,7 +32,6 @@
 func newReplacement(c call) *replacement {
 	rep := &replacement{call: &c, sendsBefore: c.sendCount, triedBefore: len(c.triedEndpoints), done: make(chan struct{})}
 	c.triedEndpoints = slices.Clone(c.triedEndpoints)
-	c.isReplacement = true
 	c.ctx, rep.cancel = context.WithCancelCause(c.ctx)
 	return rep
 }
@@ -55,27 +56,39 @@
 // silent attempt is canceled once the other one has output, and goes on if there is none.
 func (f *Forwarder) runReplacement(w *watchedAttempt, rep *replacement, r balancer.Request) {
 	defer close(rep.done)
+	defer func() {
+		if cause := recover(); cause != nil {
+			f.recordPanic(rep.call, cause)
+		}
+	}()
 	a := f.sendReplacement(w, rep, r)
-	if a == nil {
-		f.silence.recordFailedReplacement(w, rep)
-		return
-	}
-	if f.replace(w, rep, a) {
+	if a != nil && f.replace(w, rep, a) {
 		rep.attempt = a
 		return
 	}
+	for ; a != nil; a = f.awaitReplacement(rep.call) {
+		f.discardAttempt(a)
+	}
+	f.silence.recordFailedReplacement(w, rep)
+}
+
+// discardAttempt ends an attempt whose answer is not used.
+func (f *Forwarder) discardAttempt(a *attempt) {
+	a.call.unknownOutcome = fmt.Errorf("an answer with status %d was not used", a.answer.Status)
 	result := balancer.ResultCanceled
 	if a.answer.Status >= http.StatusInternalServerError {
 		result = balancer.ResultFailed
 	}
 	f.endAttempt(a, result)
 	a.body.release(&f.answerMemory)
-	f.silence.recordFailedReplacement(w, rep)
 }
 
 // sendReplacement returns an attempt with an answer that can be forwarded, or nil.
 func (f *Forwarder) sendReplacement(w *watchedAttempt, rep *replacement, r balancer.Request) *attempt {
 	c := rep.call
+	if !f.mayRepeatAfterCrash(c) {
+		return nil
+	}
 	dp := f.dispatchers.get(c.service)
 	d, err := dp.awaitDecision(c.ctx, f.cfg.Clock, r)
 	if err != nil || d.Outcome != balancer.OutcomeStarted {
@@ -86,11 +99,11 @@
 		dp.recordEnd(f.cfg.Clock(), d.Endpoint.ID, d.ID, balancer.ResultCanceled)
 		return nil
 	}
-	dp.recordSilence(f.cfg.Clock(), w.endpoint, w.id)
 	a, fail := f.sendAttempt(c, d)
 	if fail != nil {
 		f.recordFailure(c, d, fail)
-		return nil
+		a.body.release(&f.answerMemory)
+		return f.awaitReplacement(c)
 	}
 	return a
 }
@@ -107,6 +120,8 @@
 	}
 	rep.isSent = f.allowReplacement(now, rep.call, w.hasOutput)
 	if rep.isSent {
+		w.isSilent = true
+		f.dispatchers.get(rep.call.service).recordSilence(now, w.endpoint, w.id)
 		f.cfg.Metrics.Add("replacements_sent", 1)
 	}
 	return rep.isSent
@@ -134,9 +149,12 @@
 }
 
 // hasUsefulOutput reports whether the answer of an attempt succeeds where another attempt may
-// still do so.
+// still do so. A stream that is resumed may have no more events.
 func (a *attempt) hasUsefulOutput() bool {
-	return isSuccess(a.answer.Status) && (a.events == nil || a.firstEvents.count > 0)
+	if !isSuccess(a.answer.Status) {
+		return false
+	}
+	return a.events == nil || a.firstEvents.count > 0 || a.events.atEnd && a.answer.IsFramed() && a.call.LastEventID != ""
 }
 
 // awaitReplacement returns the attempt with which a call goes on whose attempt has ended
@@ -166,14 +184,14 @@
 	a.call = c
 	c.endpoint, c.sentAt, c.lastOutputAt = rep.call.endpoint, rep.call.sentAt, rep.call.lastOutputAt
 	c.weightsVersion, c.suspects = rep.call.weightsVersion, rep.call.suspects
-	if c.mayRepeat() {
-		c.watched = &watchedAttempt{id: a.request, endpoint: a.endpoint.ID, call: c.withTried(a.endpoint.ID), hasOutput: true, isDelivering: true, cancel: rep.cancel}
-		f.silence.add(f.cfg.Clock(), c.watched)
-	}
+	c.watched = rep.call.watched
 }
 
 // recordReplacement adds the sends of a replacement that has ended to those of its call.
 func (c *call) recordReplacement(rep *replacement) {
+	if rep.call.unknownOutcome != nil {
+		c.unknownOutcome = rep.call.unknownOutcome
+	}
 	c.sendCount += rep.call.sendCount - rep.sendsBefore
 	c.triedEndpoints = append(c.triedEndpoints, rep.call.triedEndpoints[rep.triedBefore:]...)
 	if c.suspects.probed == nil {
@@ -208,4 +226,5 @@
 	defer sw.mu.Unlock()
 	w.call.sendCount = rep.call.sendCount
 	w.call.triedEndpoints = slices.Clone(rep.call.triedEndpoints)
+	w.call.suspects.probed = rep.call.suspects.probed
 }
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -28,6 +28,8 @@
 	// call is a copy of the call as an attempt at another endpoint would continue it.
 	call      call
 	hasOutput bool
+	// isSilent is set while the dispatcher counts the endpoint as silent.
+	isSilent bool
 	// isDelivering is set while output is sent to the caller and none is read.
 	isDelivering bool
 	cancel       context.CancelCauseFunc
@@ -70,9 +72,6 @@
 // endpoint. Attempts that must not be repeated are not watched. end has to be called for
 // each watched attempt.
 func (sw *silenceWatch) watch(now time.Time, c *call, d balancer.Decision) context.Context {
-	if c.isReplacement {
-		return c.ctx
-	}
 	c.watched = nil
 	next := c.withTried(d.Endpoint.ID)
 	next.sendCount++
@@ -81,15 +80,11 @@
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	c.watched = &watchedAttempt{id: d.ID, endpoint: d.Endpoint.ID, call: next, cancel: cancel}
-	sw.add(now, c.watched)
-	return ctx
-}
-
-func (sw *silenceWatch) add(now time.Time, w *watchedAttempt) {
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
-	sw.detector.Start(now, w.id, w.call.idleTimeout(now))
-	sw.attempts[w.id] = w
+	sw.detector.Start(now, d.ID, next.idleTimeout(now))
+	sw.attempts[d.ID] = c.watched
+	return ctx
 }
 
 // recordOutput records that a part of an attempt's answer has arrived, and stops the attempt
@@ -105,13 +100,13 @@
 	if w.replaced {
 		return false, false
 	}
+	wasSilent, w.isSilent = w.isSilent, false
 	w.hasOutput, w.isDelivering = true, true
 	sw.detector.RecordOutput(now, id)
 	if rep := w.current(); rep != nil {
 		rep.cancel(context.Canceled)
-		return true, rep.isSent
 	}
-	return true, false
+	return true, wasSilent
 }
 
 // recordDelivery records that the output that was read has been sent to the caller.
