Report how late a sidecar's chunks are with its endpoint's load

Cause: an entry widens its margin before the bound by the delay of its own requests to the endpoint only, and this entry had none on their way. The sidecar beside the endpoint knows better: its chunks share the link.

A sidecar now reports the shortest latency of three chunks in a row from two senders or more, which only its own link can have delayed (pkg/gauger). An entry takes the longer of that and its own measure. The report grows by three bytes, and only on a congested link; old senders lack the field.

Ruled out: transit times of the entries' datagrams.

TestReportedDelayWidensMargin fails with the report ignored (200 for 503); before the change there is no such report.

--- a/internal/agentserver/load.go
+++ b/internal/agentserver/load.go
@@ -7,6 +7,7 @@
 
 	"flamingoledge.org/flamingoledge/internal/messenger"
 	"flamingoledge.org/flamingoledge/internal/stager"
+	"flamingoledge.org/flamingoledge/pkg/gauger"
 	"flamingoledge.org/flamingoledge/platform"
 )
 
@@ -102,6 +103,31 @@
 	}
 }
 
+// recordLatency records how long after its request a chunk arrived from a peer.
+func (s *Server) recordLatency(peer string, latency time.Duration) {
+	s.linkGauge.record(s.cfg.Clock(), peer, latency)
+}
+
+// linkGauge measures the delay of this instance's link. It is safe for concurrent use.
+type linkGauge struct {
+	mu    sync.Mutex
+	gauge *gauger.Gauge
+}
+
+// record records the latency of a chunk from a peer.
+func (lg *linkGauge) record(now time.Time, peer string, latency time.Duration) {
+	lg.mu.Lock()
+	defer lg.mu.Unlock()
+	lg.gauge.Record(now, peer, latency)
+}
+
+// delay returns how long what is sent to this instance may queue.
+func (lg *linkGauge) delay(now time.Time) time.Duration {
+	lg.mu.Lock()
+	defer lg.mu.Unlock()
+	return lg.gauge.Delay(now)
+}
+
 // reportLoad reports the endpoint's load to the receivers to which it is due. Before the
 // first plan, the model is not known, and so not which version of it is loaded.
 func (s *Server) reportLoad(now time.Time, r platform.Report) {
@@ -119,6 +145,7 @@
 		Version:      stager.LoadedVersion(r, s.model),
 		Switching:    s.stager.Switching() || r.Loading,
 		StartedNanos: s.startedNanos,
+		LinkDelayMs:  uint32(s.linkGauge.delay(now).Milliseconds()),
 	}
 	due, total := s.receivers.due(now, l)
 	if len(due) == 0 {
--- a/internal/agentserver/load_test.go
+++ b/internal/agentserver/load_test.go
@@ -92,3 +92,30 @@
 	s.reportLoad(now, report)
 	is.Equal(s.receivers.byAddress[entry].lastLoad.GetVersion(), uint64(3))
 }
+
+// TestLinkDelayIsReported checks that a sidecar reports how late the chunks arrive that it
+// fetches, until the delay is too old to count.
+func TestLinkDelayIsReported(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	n := configurator.DefaultNode()
+	n.Address, n.EndpointAddress = "127.0.0.1", "127.0.0.1:1"
+	s, err := New(Config{Settings: n, Clock: func() time.Time { return now }, Logger: zap.NewNop(), Metrics: new(expvar.Map).Init()})
+	is.NoErr(err)
+	defer s.socket.Close()
+	s.applyPlan(&messenger.PlanReply{Known: true, Versions: []*messenger.NamedVersion{{Model: "m", Version: 3}}})
+	entry := netip.MustParseAddrPort("127.0.0.1:9")
+	reported := func() uint32 {
+		now = now.Add(unchangedReportInterval)
+		s.handleDatagram(entry, &messenger.Datagram{Subscription: &messenger.Subscription{IntervalMs: 60}})
+		s.reportLoad(now, platform.Report{})
+		return s.receivers.byAddress[entry].lastLoad.GetLinkDelayMs()
+	}
+	is.Equal(reported(), uint32(0))
+	for _, peer := range []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"} {
+		s.recordLatency(peer, 1500*time.Millisecond)
+	}
+	is.Equal(reported(), uint32(1500))
+	now = now.Add(10 * time.Second)
+	is.Equal(reported(), uint32(0))
+}
--- a/internal/agentserver/server.go
+++ b/internal/agentserver/server.go
@@ -27,6 +27,7 @@
 	"flamingoledge.org/flamingoledge/internal/sleeper"
 	"flamingoledge.org/flamingoledge/internal/stager"
 	"flamingoledge.org/flamingoledge/internal/transferrer"
+	"flamingoledge.org/flamingoledge/pkg/gauger"
 	"flamingoledge.org/flamingoledge/pkg/pacer"
 	"flamingoledge.org/flamingoledge/pkg/planner"
 	"flamingoledge.org/flamingoledge/platform"
@@ -72,6 +73,9 @@
 	entries atomic.Pointer[[]string]
 	// receivers are the entries to which the load is reported.
 	receivers receivers
+	// linkGauge measures the delay of what is sent to this instance by the chunks that it
+	// gets.
+	linkGauge linkGauge
 	// plans contains the latest plan that is not yet applied.
 	plans chan *messenger.PlanReply
 	// isPlanApplied is set once a plan was applied, model is the model of the latest one.
@@ -93,6 +97,7 @@
 		endpoint:     platform.NewEndpointClient(n.EndpointAddress),
 		store:        transferrer.NewStore(),
 		plans:        make(chan *messenger.PlanReply, 1),
+		linkGauge:    linkGauge{gauge: gauger.New()},
 		startedNanos: uint64(cfg.Clock().UnixNano()),
 	}
 	if s.socket, err = gossiper.Listen(s.self); err != nil {
@@ -110,6 +115,7 @@
 		VersionBound:   configurator.Millis(n.Bounds.VersionMillis),
 		BytesPerSecond: rate,
 		DownloadPacer:  pacer.New(link),
+		RecordLatency:  s.recordLatency,
 		Logger:         cfg.Logger,
 	})
 	s.entries.Store(&[]string{})
--- a/internal/forwarder/delivery_delay.go
+++ b/internal/forwarder/delivery_delay.go
@@ -6,6 +6,7 @@
 
 	"flamingoledge.org/flamingoledge/internal/exchanger"
 	"flamingoledge.org/flamingoledge/pkg/balancer"
+	"flamingoledge.org/flamingoledge/pkg/gauger"
 )
 
 const (
@@ -16,9 +17,13 @@
 	// deliveryCheckInterval is the time between checks of whether a request has been
 	// delivered, and so the resolution of the measured delays.
 	deliveryCheckInterval = 25 * time.Millisecond
+	// maxReportedDelay bounds the delays that sidecars report. A longer one keeps
+	// requests from an endpoint no more.
+	maxReportedDelay = gauger.MaxDelay
 )
 
-// deliveryDelays measures how long requests take to arrive at endpoints. A canceled
+// deliveryDelays knows how long requests take to arrive at endpoints: those of this
+// process, and by the reports of the endpoints' sidecars those of all others. A canceled
 // request can't be called back from a congested link, so the delay decides until when
 // an endpoint with an old version may get requests. A request that is delivered at its
 // first check has no delay.
@@ -34,12 +39,19 @@
 	undelivered map[uint64]time.Duration
 	// recent are the delays of the latest delivered requests, oldest first.
 	recent []deliverySample
+	// reported is the delay that the endpoint's sidecar reported last.
+	reported deliverySample
 }
 
-// deliverySample is the delay of one request.
+// deliverySample is the delay of one request, or a reported one.
 type deliverySample struct {
-	deliveredAt time.Time
-	delay       time.Duration
+	at    time.Time
+	delay time.Duration
+}
+
+// counts reports whether the sample is recent enough to count.
+func (s deliverySample) counts(now time.Time) bool {
+	return s.delay > 0 && now.Sub(s.at) < deliveryMemory
 }
 
 // recordUndelivered records that a request to an endpoint had not been delivered yet
@@ -47,6 +59,21 @@
 func (dd *deliveryDelays) recordUndelivered(e balancer.Endpoint, request uint64, delay time.Duration) {
 	dd.mu.Lock()
 	defer dd.mu.Unlock()
+	dd.get(e).undelivered[request] = delay
+}
+
+// report sets the delay that the sidecar of an endpoint reports.
+func (dd *deliveryDelays) report(now time.Time, e balancer.Endpoint, delay time.Duration) {
+	dd.mu.Lock()
+	defer dd.mu.Unlock()
+	if delay > 0 || dd.byEndpoint[e.ID] != nil {
+		dd.get(e).reported = deliverySample{now, min(delay, maxReportedDelay)}
+	}
+}
+
+// get returns the measurements for an endpoint with its present version. The caller must
+// hold mu.
+func (dd *deliveryDelays) get(e balancer.Endpoint) *endpointDelay {
 	if dd.byEndpoint == nil {
 		dd.byEndpoint = map[string]*endpointDelay{}
 	}
@@ -56,7 +83,7 @@
 		dd.byEndpoint[e.ID] = ed
 	}
 	ed.version = e.Version
-	ed.undelivered[request] = delay
+	return ed
 }
 
 // setVersions sets the versions that endpoints have loaded. One that has loaded a
@@ -106,7 +133,7 @@
 	dd.mu.Lock()
 	defer dd.mu.Unlock()
 	for id, ed := range dd.byEndpoint {
-		if ed.prune(now); len(ed.recent)+len(ed.undelivered) == 0 {
+		if ed.prune(now); len(ed.recent)+len(ed.undelivered) == 0 && !ed.reported.counts(now) {
 			delete(dd.byEndpoint, id)
 			continue
 		}
@@ -120,17 +147,20 @@
 // prune drops the samples that no longer count.
 func (ed *endpointDelay) prune(now time.Time) {
 	n := 0
-	for n < len(ed.recent) && now.Sub(ed.recent[n].deliveredAt) >= deliveryMemory {
+	for n < len(ed.recent) && !ed.recent[n].counts(now) {
 		n++
 	}
 	ed.recent = ed.recent[n:]
 }
 
-// delay returns the longest recent delay. That of an undelivered request is a lower
+// delay returns the longest recent delay, reported or measured. That of an undelivered request is a lower
 // bound of the current one.
 func (ed *endpointDelay) delay(now time.Time) (longest time.Duration) {
+	if ed.reported.counts(now) {
+		longest = ed.reported.delay
+	}
 	for _, s := range ed.recent {
-		if now.Sub(s.deliveredAt) < deliveryMemory {
+		if s.counts(now) {
 			longest = max(longest, s.delay)
 		}
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -184,6 +184,12 @@
 	f.dispatchers.get(service).updateLoad(f.cfg.Clock(), at, endpoint, l)
 }
 
+// ReportLinkDelay sets how long requests queue on the link to an endpoint, as its sidecar
+// reports at a time, and the version that the endpoint had loaded then.
+func (f *Forwarder) ReportLinkDelay(endpoint string, version uint64, at time.Time, delay time.Duration) {
+	f.deliveryDelays.report(at, balancer.Endpoint{ID: endpoint, Version: version}, delay)
+}
+
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
--- a/internal/forwarder/version_bound_test.go
+++ b/internal/forwarder/version_bound_test.go
@@ -330,3 +330,45 @@
 		})
 	}
 }
+
+// TestReportedDelayWidensMargin checks that an entry which has no request on its way to an
+// endpoint knows from the report of the endpoint's sidecar how long one takes to arrive.
+func TestReportedDelayWidensMargin(t *testing.T) {
+	const versionBound = time.Minute
+	tests := map[string]struct {
+		reported []time.Duration
+		// age is that of the last report, left the time until the version bound.
+		age, left time.Duration
+		version   uint64
+		status    int
+	}{
+		"no report":                      {left: 2 * time.Second, version: 1, status: http.StatusOK},
+		"no delay":                       {reported: []time.Duration{0}, left: 2 * time.Second, version: 1, status: http.StatusOK},
+		"arrives in time":                {reported: []time.Duration{time.Second}, left: 4 * time.Second, version: 1, status: http.StatusOK},
+		"arrives too late":               {reported: []time.Duration{time.Second}, left: 3 * time.Second, version: 1, status: http.StatusServiceUnavailable},
+		"the latest report counts":       {reported: []time.Duration{time.Second, 10 * time.Millisecond}, left: 3 * time.Second, version: 1, status: http.StatusOK},
+		"an old report does not count":   {reported: []time.Duration{time.Second}, age: 7 * time.Second, left: 3 * time.Second, version: 1, status: http.StatusOK},
+		"the newest version has no time": {reported: []time.Duration{time.Second}, left: 0, version: 2, status: http.StatusOK},
+		"nonsense is bounded":            {reported: []time.Duration{time.Hour}, left: 15 * time.Second, version: 1, status: http.StatusOK},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := newEndpoint(t, respondWith("x"))
+			f := newTestForwarder(t, e)
+			cfg := configuration()
+			cfg.Services[0].Engine = &resolver.Engine{Slots: 4, Stride: 1}
+			f.forwarder.SetEndpoints("s", []balancer.Endpoint{{ID: "e0", Address: e.server.Listener.Addr().String(), Slots: 4, Ready: true, Version: tc.version}})
+			now := time.Now()
+			f.updateState(func(s *forwarder.RoutingState) {
+				s.Table = resolver.New(cfg)
+				s.Versions = map[string][]forwarder.Version{"": {{Version: 2, KnownSince: now.Add(tc.left - versionBound)}}}
+			})
+			for _, delay := range tc.reported {
+				f.forwarder.ReportLinkDelay("e0", tc.version, now.Add(-tc.age), delay)
+			}
+			is.Equal(f.call(t.Context(), t, "whole").status, tc.status)
+		})
+	}
+}
--- a/internal/gatewayserver/presence.go
+++ b/internal/gatewayserver/presence.go
@@ -171,5 +171,6 @@
 		s.forward.ReportLoad(e.Service, e.ID, now.Add(-reportLag), balancer.Load{
 			Running: int(l.GetActive()), Queued: int(l.GetQueued()), Slowdown: float64(l.GetPace()), Receivers: int(l.GetReceivers()),
 		})
+		s.forward.ReportLinkDelay(e.ID, l.GetVersion(), now, time.Duration(l.GetLinkDelayMs())*time.Millisecond)
 	}
 }
--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -260,6 +260,7 @@
 		Origin:        &originReader{origin: origin, named: platform.NamedVersion{Model: f.model, Version: f.version}, chunkBytes: a.Manifest().ChunkBytes},
 		OriginTimeout: originTimeout,
 		DownloadPacer: s.cfg.DownloadPacer,
+		RecordLatency: s.cfg.RecordLatency,
 		Submit:        func(task func()) error { go task(); return nil },
 		Logger:        s.cfg.Logger,
 	})
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -64,6 +64,8 @@
 	BytesPerSecond float64
 	// DownloadPacer limits the rate at which chunks are requested.
 	DownloadPacer *pacer.Pacer
+	// RecordLatency is called for each chunk from a peer; it may be nil.
+	RecordLatency transferrer.RecordLatencyFunc
 	Logger        *zap.Logger
 }
 
--- a/internal/transferrer/link.go
+++ b/internal/transferrer/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -56,6 +57,27 @@
 	// outstanding is the number of chunks requested and not yet answered.
 	outstanding int
 	lastReply   time.Time
+
+	// mu guards requestedAt, when the chunks that have not arrived were requested.
+	mu          sync.Mutex
+	requestedAt map[uint32]time.Time
+}
+
+// recordRequest records that a chunk is requested from the peer.
+func (l *link) recordRequest(now time.Time, index uint32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.requestedAt[index] = now
+}
+
+// latency returns how long after its request a chunk arrives; ok is false if it was not
+// requested.
+func (l *link) latency(now time.Time, index uint32) (d time.Duration, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at, ok := l.requestedAt[index]
+	delete(l.requestedAt, index)
+	return now.Sub(at), ok
 }
 
 // runLink exchanges chunks with a peer until ctx ends or the connection fails.
@@ -99,6 +121,7 @@
 			if !sleeper.Sleep(ctx, t.reservePeerFetch(l.peer, int(req.GetIndex()))) {
 				return
 			}
+			l.recordRequest(time.Now(), req.GetIndex())
 		}
 		if err := stream.Send(req); err != nil {
 			return
@@ -135,6 +158,9 @@
 	case reply.GetMissing():
 		t.post(event{kind: eventFetchFailed, fetch: f, reason: planner.FailureMissing})
 	case reply.Data != nil:
+		if d, ok := l.latency(time.Now(), reply.GetIndex()); ok && t.cfg.RecordLatency != nil {
+			t.cfg.RecordLatency(l.peer, d)
+		}
 		t.storeChunk(f, reply.GetData())
 	default:
 		t.post(event{kind: eventChunksAnnounced, peer: l.peer, indexes: slices.Clone(reply.GetGained())})
--- a/internal/transferrer/transfer.go
+++ b/internal/transferrer/transfer.go
@@ -43,12 +43,18 @@
 	// of chunks requested from other regions; nil means no limit.
 	DownloadPacer    *pacer.Pacer
 	CrossRegionPacer *pacer.Pacer
+	// RecordLatency is called for each chunk from a peer; it may be nil.
+	RecordLatency RecordLatencyFunc
 	// Submit runs a task on another goroutine. It returns an error if it does not
 	// accept the task.
 	Submit func(func()) error
 	Logger *zap.Logger
 }
 
+// RecordLatencyFunc records how long after its request a chunk arrived from a peer. It must
+// be safe for concurrent use.
+type RecordLatencyFunc func(peer string, latency time.Duration)
+
 // Origin reads weights from the origin.
 type Origin interface {
 	// ReadAt fills buf with the bytes at offset of the weights with the given digest.
@@ -202,6 +208,7 @@
 		l = &link{
 			peer:          name,
 			requestQueue:  make(chan uint32, maxQueuedRequests),
+			requestedAt:   map[uint32]time.Time{},
 			wantedUpdates: make(chan chunker.IndexSet, 1),
 			wanted:        p.Wanted,
 			cancel:        cancel,
--- a/internal/transferrer/transfer_test.go
+++ b/internal/transferrer/transfer_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -61,6 +62,12 @@
 
 // fetch transfers the version from its holder.
 func fetch(tb testing.TB, m chunker.Manifest, address string) *assembler.Assembly {
+	tb.Helper()
+	return fetchMeasured(tb, m, address, nil)
+}
+
+// fetchMeasured transfers the version from its holder and records the chunks' latencies.
+func fetchMeasured(tb testing.TB, m chunker.Manifest, address string, record transferrer.RecordLatencyFunc) *assembler.Assembly {
 	tb.Helper()
 	a := assembler.New("v", m)
 	d := &connector.Dialer{}
@@ -75,6 +82,8 @@
 		Dial:    func(ctx context.Context, _ string) (drpc.Conn, error) { return d.Dial(ctx, address) },
 		Submit:  func(func()) error { return nil },
 		Logger:  zap.NewNop(),
+
+		RecordLatency: record,
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
@@ -92,6 +101,29 @@
 	is.NoErr(fetch(t, m, address).VerifyWeights())
 }
 
+// TestLatencyOfEachChunkIsRecorded checks that each chunk is recorded once, with the time
+// since its own request.
+func TestLatencyOfEachChunkIsRecorded(t *testing.T) {
+	is := is.New(t)
+	m, address := serveVersion(t, make([]byte, 100*benchChunk))
+	start := time.Now()
+	var mu sync.Mutex
+	var latencies []time.Duration
+	fetchMeasured(t, m, address, func(peer string, latency time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		is.Equal(peer, "holder")
+		latencies = append(latencies, latency)
+	})
+	elapsed := time.Since(start)
+	mu.Lock()
+	defer mu.Unlock()
+	is.Equal(len(latencies), len(m.Chunks))
+	for _, d := range latencies {
+		is.True(d > 0 && d <= elapsed)
+	}
+}
+
 // BenchmarkChunk transfers chunks over the loopback interface. Apart from the buffers of
 // the chunks, the allocations of a transfer must not grow with the number of chunks.
 func BenchmarkChunk(b *testing.B) {
