Date versions that no entry noticed by what sidecars know

Cause: the naming time is known to the entries that notice a version. If none runs, none stores it, and those that start count the version from their first read. Sidecars, which time their switch by the same moment, switched late too.

Ruled out: the margins before the bound, and the naming records (there was none to read).

A reply to a sidecar's request for a plan now tells which version was the newest at the entry's last confirmation, and a request tells the entry the last such time of each version. A version that an entry reads at its start, and for which after 1.5 s neither the store nor another entry has a naming time, counts from the last confirmation of an older one. That is a lower bound of the naming time: the reply counts from when its request was sent, by a clock that runs on while an instance is suspended. Entries tell each other what their sidecars know; the latest counts. Naming times that are only first reads are marked in presences, plans and records, so that no one takes them for better; older builds ignore the mark and the new fields. Sidecars adopt a naming time that becomes earlier.

A restarted or added entry counts as before, from the naming time of the store or a peer. The time of waiting for plan changes is random, 1.5 to 3 s, so that confirmations to the sidecars are not equally old.

Not covered: all sidecars stop too; the version then counts from the first read.

--- a/internal/agentserver/server.go
+++ b/internal/agentserver/server.go
@@ -27,6 +27,7 @@
 	"flamingoledge.org/flamingoledge/internal/sleeper"
 	"flamingoledge.org/flamingoledge/internal/stager"
 	"flamingoledge.org/flamingoledge/internal/transferrer"
+	"flamingoledge.org/flamingoledge/pkg/dater"
 	"flamingoledge.org/flamingoledge/pkg/pacer"
 	"flamingoledge.org/flamingoledge/pkg/planner"
 	"flamingoledge.org/flamingoledge/platform"
@@ -48,7 +49,8 @@
 	// requests.
 	transferShare = 0.92
 	// planLongPollTimeout is how long an entry may delay its reply until the plan
-	// changes.
+	// changes. Sidecars wait for a random time of at least half of it, so that the entries'
+	// last confirmations to all of them are not equally old.
 	planLongPollTimeout = 3 * time.Second
 	planTimeout         = planLongPollTimeout + 700*time.Millisecond
 	// planRetryDelay is the minimum pause after a failed request for the plan. A random
@@ -68,6 +70,9 @@
 	uploadPacer *pacer.Pacer
 	dialer      connector.Dialer
 
+	// confirmations are the versions that entries have confirmed. Only pollPlan uses it.
+	confirmations dater.Confirmations
+
 	// entries are the addresses of the entries in the latest plan.
 	entries atomic.Pointer[[]string]
 	// receivers are the entries to which the load is reported.
@@ -245,7 +250,13 @@
 		return nil, err
 	}
 	defer func() { _ = conn.Close() }()
-	return messenger.NewDRPCRelayClient(conn).Plan(ctx, &messenger.PlanRequest{
-		Service: s.cfg.Settings.Service, KnownDigest: knownDigest, WaitMs: uint32(planLongPollTimeout.Milliseconds()),
+	sentAt := s.cfg.Clock()
+	wait := planLongPollTimeout/2 + time.Duration(rand.Int64N(int64(planLongPollTimeout/2)))
+	p, err := messenger.NewDRPCRelayClient(conn).Plan(ctx, &messenger.PlanRequest{
+		Service: s.cfg.Settings.Service, KnownDigest: knownDigest, WaitMs: uint32(wait.Milliseconds()), Confirmed: toConfirmed(sentAt, s.confirmations),
 	})
+	if err == nil {
+		s.confirmations = withConfirmed(s.confirmations, sentAt, p)
+	}
+	return p, err
 }
--- a/internal/gatewayserver/configuration.go
+++ b/internal/gatewayserver/configuration.go
@@ -30,7 +30,9 @@
 	}
 	var actions []controller.Action
 	before, last := s.config.digest, s.confirmation()
-	s.config = s.config.withVersionAges(now, e.versionAges, last)
+	undatedBefore := len(s.config.undated)
+	s.config = s.config.withVersionAges(now, e.versionAges, last).withoutUndated(e.versionAges)
+	s.config = s.config.withVersionAges(now, e.undatedAges, last)
 	for _, v := range e.values {
 		if v.Data == nil {
 			continue
@@ -53,7 +55,7 @@
 	if e.source == sourceStore && !e.startedAt.Before(s.pause.until) {
 		s.pause = pause{}
 	}
-	if s.config.digest != before {
+	if s.config.digest != before || len(s.config.undated) != undatedBefore {
 		actions = append(actions, endpointsChanged{})
 	}
 	return s, actions
@@ -92,7 +94,11 @@
 	age := now.Sub(c.newest(named.Model).KnownSince)
 	actions := []controller.Action{logEvent(logger.VersionNamed, zap.String("model", named.Model),
 		zap.Uint64("version", named.Version), zap.Duration("age", age), zap.String("source", e.source))}
-	if e.source == sourceStore && !e.includesNaming(named) {
+	switch {
+	case e.includesNaming(named):
+	case c.confirmedAt.IsZero() && (e.afterGap || e.source != sourceStore):
+		c = c.withUndated(modelVersion{model: named.Model, version: named.Version}, undatedNaming{readAt: now, notBefore: e.failedAt})
+	case e.source == sourceStore:
 		actions = append(actions, versionFirstSeen{model: named.Model, version: named.Version, age: age})
 	}
 	return c, actions
--- a/internal/gatewayserver/naming_floors.go
+++ b/internal/gatewayserver/naming_floors.go
@@ -1,6 +1,7 @@
 package gatewayserver
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -41,6 +42,10 @@
 	version uint64
 }
 
+func (v modelVersion) compare(other modelVersion) int {
+	return cmp.Or(cmp.Compare(v.model, other.model), cmp.Compare(v.version, other.version))
+}
+
 // with returns the floors after a version was first noticed and only the retained versions
 // of its model are left.
 func (f namingFloors) with(model string, version uint64, last confirmation, retained []forwarder.Version) namingFloors {
--- a/internal/gatewayserver/naming_records.go
+++ b/internal/gatewayserver/naming_records.go
@@ -30,16 +30,28 @@
 	namingTolerance = 100 * time.Millisecond
 )
 
-// loadVersionAges reads from the store when versions were named. If the read fails,
+// loadNamings reads from the store when versions were named. If the read fails,
 // this process treats the versions as named when it first reads them.
-func (s *Server) loadVersionAges() []versionAge {
+func (s *Server) loadNamings() []platform.NamingRecord {
 	store := platform.NewNamingStore(s.cfg.Settings.Store)
 	defer store.Close()
 	stored, err := s.readNamings(store)
 	if err != nil {
 		logger.Log(s.cfg.Logger, logger.NamingsUnread, zap.Error(err))
 	}
-	return versionAges(time.Now(), stored)
+	return stored
+}
+
+// withNamings returns e with the versions in naming records.
+func (e configRead) withNamings(wallTime time.Time, records []platform.NamingRecord) configRead {
+	for _, n := range records {
+		if n.Undated {
+			e.undatedAges = append(e.undatedAges, versionAges(wallTime, []platform.NamingRecord{n})...)
+		} else {
+			e.versionAges = append(e.versionAges, versionAges(wallTime, []platform.NamingRecord{n})...)
+		}
+	}
+	return e
 }
 
 // readNamings reads and decodes the naming records and skips invalid ones.
@@ -71,12 +83,28 @@
 // stored takes precedence, since it comes from an entry that noticed the version
 // earlier.
 func (s *Server) recordNaming(model string, version uint64, at time.Time) {
+	n := platform.NamingRecord{Model: model, Version: version, NamedUnixMillis: at.UnixMilli()}
+	n.Undated = s.board.View().config.isUndated(model, version)
+	s.retryNaming(model, version, func(store *platform.Store) error { return s.tryRecordNaming(store, n) })
+}
+
+// checkNaming adopts the stored naming time of a version, or reports that there is none.
+func (s *Server) checkNaming(named modelVersion) {
+	s.retryNaming(named.model, named.version, func(store *platform.Store) error {
+		if _, err := s.adoptNamings(store, named); err != nil {
+			return err
+		}
+		return s.board.Send(context.Background(), namingUnstored{named: named})
+	})
+}
+
+// retryNaming calls try until it succeeds or namingRetryTime has passed.
+func (s *Server) retryNaming(model string, version uint64, try func(*platform.Store) error) {
 	store := platform.NewNamingStore(s.cfg.Settings.Store)
 	defer store.Close()
-	n := platform.NamingRecord{Model: model, Version: version, NamedUnixMillis: at.UnixMilli()}
 	startedAt := s.cfg.Clock()
 	for pause := namingRetryPause; ; pause = min(2*pause, maxNamingRetryPause) {
-		err := s.tryRecordNaming(store, n)
+		err := try(store)
 		if err == nil {
 			return
 		}
@@ -100,19 +128,27 @@
 	}
 }
 
-// tryRecordNaming makes one attempt of recordNaming. It adopts the stored times of this and
-// of older versions, whose bounds end earlier; the read at the start may have failed.
-func (s *Server) tryRecordNaming(store *platform.Store, n platform.NamingRecord) error {
+// adoptNamings adopts and returns the stored naming times of a version and of older ones,
+// whose bounds end earlier; the read at the start may have failed.
+func (s *Server) adoptNamings(store *platform.Store, named modelVersion) ([]platform.NamingRecord, error) {
 	stored, err := s.readNamings(store)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	stored = slices.DeleteFunc(stored, func(v platform.NamingRecord) bool { return v.Model != n.Model || v.Version > n.Version })
-	if err = s.board.Send(context.Background(), configRead{versionAges: versionAges(time.Now(), stored)}); err != nil {
+	stored = slices.DeleteFunc(stored, func(v platform.NamingRecord) bool { return v.Model != named.model || v.Version > named.version })
+	return stored, s.board.Send(context.Background(), configRead{}.withNamings(time.Now(), stored))
+}
+
+// tryRecordNaming makes one attempt of recordNaming.
+func (s *Server) tryRecordNaming(store *platform.Store, n platform.NamingRecord) error {
+	stored, err := s.adoptNamings(store, modelVersion{model: n.Model, version: n.Version})
+	if err != nil {
 		return err
 	}
 	latest := n.NamedUnixMillis + namingTolerance.Milliseconds()
-	if slices.ContainsFunc(stored, func(v platform.NamingRecord) bool { return v.Version == n.Version && v.NamedUnixMillis <= latest }) {
+	if slices.ContainsFunc(stored, func(v platform.NamingRecord) bool {
+		return v.Version == n.Version && v.NamedUnixMillis <= latest && (n.Undated || !v.Undated)
+	}) {
 		return nil
 	}
 	value, err := n.Encode()
--- a/internal/gatewayserver/peers.go
+++ b/internal/gatewayserver/peers.go
@@ -58,7 +58,11 @@
 	if !known || old.Leaving != msg.GetLeaving() || s.peers.LeavingCount() != before.LeavingCount() {
 		actions = append(actions, endpointsChanged{})
 	}
+	undatedBefore := len(s.config.undated)
 	s.config = s.config.withEarlierVersionAges(now, msg.GetNewest())
+	if len(s.config.undated) != undatedBefore {
+		actions = append(actions, endpointsChanged{})
+	}
 	var needsConfig, needsList bool
 	s.config, needsConfig = s.config.withPeerConfirmation(now, msg)
 	s.list, needsList = s.list.withPeerConfirmation(now, msg, p.listAdoptionMargin)
@@ -74,7 +78,11 @@
 func (c config) withEarlierVersionAges(now time.Time, newest []*messenger.NamedVersion) config {
 	for _, n := range newest {
 		if c.newest(n.GetModel()).Version == n.GetVersion() {
-			c = c.withVersionAges(now, []versionAge{{model: n.GetModel(), version: n.GetVersion(), age: age(n.GetAgeMs())}}, confirmation{})
+			told := []versionAge{{model: n.GetModel(), version: n.GetVersion(), age: age(n.GetAgeMs())}}
+			c = c.withVersionAges(now, told, confirmation{})
+			if !n.GetUndated() {
+				c = c.withoutUndated(told)
+			}
 		}
 	}
 	return c
--- a/internal/gatewayserver/presence.go
+++ b/internal/gatewayserver/presence.go
@@ -92,6 +92,9 @@
 		// The age of the original epoch is unlimited.
 		StoreEpochAgeMs: ageMillis(now, v.store.since),
 	}
+	if len(v.config.undated) > 0 {
+		p.Confirmed = toConfirmed(now, v.confirmations)
+	}
 	if echo == 0 {
 		addPeerReports(p, v.peers.Reports(now, maxPeerReports, maxPeerReportAge, newRand()))
 		for _, i := range rand.Perm(v.peers.Len())[:min(v.peers.Len(), maxPeersPerPresence)] {
@@ -108,7 +111,7 @@
 func newestVersions(now time.Time, c config) (out []*messenger.NamedVersion) {
 	for _, model := range slices.Sorted(maps.Keys(c.versions)) {
 		n := c.newest(model)
-		out = append(out, &messenger.NamedVersion{Model: model, Version: n.Version, AgeMs: ageMillis(now, n.KnownSince)})
+		out = append(out, &messenger.NamedVersion{Model: model, Version: n.Version, AgeMs: ageMillis(now, n.KnownSince), Undated: c.isUndated(model, n.Version)})
 	}
 	return out
 }
--- a/internal/gatewayserver/relay.go
+++ b/internal/gatewayserver/relay.go
@@ -42,7 +42,9 @@
 		reply.Config = toStoredValues(v.config.values)
 		for _, model := range slices.Sorted(maps.Keys(v.config.versions)) {
 			for _, named := range v.config.versions[model] {
-				reply.Versions = append(reply.Versions, &messenger.NamedVersion{Model: model, Version: named.Version, AgeMs: ageMillis(now, named.KnownSince)})
+				reply.Versions = append(reply.Versions, &messenger.NamedVersion{
+					Model: model, Version: named.Version, AgeMs: ageMillis(now, named.KnownSince), Undated: v.config.isUndated(model, named.Version),
+				})
 			}
 		}
 	}
@@ -121,7 +123,12 @@
 		startedAt := sentAt.Add(-age(reply.GetConfigAgeMs()))
 		read := configRead{values: fromStoredValues(reply.GetConfig()), startedAt: startedAt, source: address}
 		for _, n := range reply.GetVersions() {
-			read.versionAges = append(read.versionAges, versionAge{model: n.GetModel(), version: n.GetVersion(), age: age(n.GetAgeMs())})
+			told := versionAge{model: n.GetModel(), version: n.GetVersion(), age: age(n.GetAgeMs())}
+			if n.GetUndated() {
+				read.undatedAges = append(read.undatedAges, told)
+			} else {
+				read.versionAges = append(read.versionAges, told)
+			}
 		}
 		events = append(events, read)
 	}
@@ -136,17 +143,22 @@
 // service as soon as that differs from the plan that the calling sidecar has, or after
 // the requested wait.
 func (s *Server) Plan(ctx context.Context, req *messenger.PlanRequest) (*messenger.PlanReply, error) {
+	receivedAt := s.cfg.Clock()
+	s.receiveConfirmed(req.GetConfirmed())
 	timeout := time.NewTimer(min(time.Duration(req.GetWaitMs())*time.Millisecond, maxPlanWait))
 	defer timeout.Stop()
 	for {
 		changed := s.changed.Wait()
-		reply := s.buildPlan(s.board.View(), req.GetService())
+		v := s.board.View()
+		reply := s.buildPlan(v, req.GetService())
 		if reply.GetDigest() != req.GetKnownDigest() {
+			s.addConfirmed(receivedAt, v, req.GetService(), reply)
 			return reply, nil
 		}
 		select {
 		case <-changed:
 		case <-timeout.C:
+			s.addConfirmed(receivedAt, s.board.View(), req.GetService(), reply)
 			return reply, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -264,13 +276,16 @@
 		if held {
 			named = v.list.held[model]
 		}
-		wanted := &messenger.NamedVersion{Model: model, Version: named.Version, AgeMs: ageMillis(now, named.KnownSince), Held: held}
+		wanted := &messenger.NamedVersion{Model: model, Version: named.Version, AgeMs: ageMillis(now, named.KnownSince), Held: held, Undated: v.config.isUndated(model, named.Version)}
 		if wanted.Version > 0 {
 			reply.Versions = append(reply.Versions, wanted)
 			h := xxhash.New()
 			_, _ = h.Write(binary.BigEndian.AppendUint64(nil, reply.GetDigest()))
 			_, _ = h.WriteString(model)
 			_, _ = h.Write(binary.BigEndian.AppendUint64(nil, wanted.GetVersion()))
+			if wanted.GetUndated() {
+				_, _ = h.WriteString("undated")
+			}
 			reply.Digest = h.Sum64()
 		}
 	}
--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -151,7 +151,7 @@
 // controllers returns the controllers of the board, in the order in which they get an event.
 func (s *Server) controllers() []controller.Controller[state] {
 	return []controller.Controller[state]{
-		pauseController{}, storeController{}, configurationController{}, endpointsController{}, peersController{self: s.self, listAdoptionMargin: s.listAdoptionMargin()},
+		pauseController{}, storeController{}, configurationController{}, datingController{}, endpointsController{}, peersController{self: s.self, listAdoptionMargin: s.listAdoptionMargin()},
 	}
 }
 
@@ -271,6 +271,8 @@
 		}
 	case versionFirstSeen:
 		go s.recordNaming(a.model, a.version, time.Now().Add(-a.age))
+	case namingNeeded:
+		go s.checkNaming(a.named)
 	case namingsLost:
 		go s.rewriteNamings(s.jitter(namingRewriteDelay))
 	case peerStateNeeded:
@@ -324,7 +326,7 @@
 		apply: func(r storeRead) error {
 			e := r.configRead()
 			if r.snapshot || s.hasUnreadPause() {
-				e.versionAges = s.loadVersionAges()
+				e = e.withNamings(time.Now(), s.loadNamings())
 			}
 			return s.board.Send(context.Background(), e)
 		},
--- a/internal/gatewayserver/state.go
+++ b/internal/gatewayserver/state.go
@@ -13,6 +13,7 @@
 	"flamingoledge.org/flamingoledge/internal/forwarder"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
+	"flamingoledge.org/flamingoledge/pkg/dater"
 	"flamingoledge.org/flamingoledge/pkg/provider"
 	"flamingoledge.org/flamingoledge/pkg/registrar"
 	"flamingoledge.org/flamingoledge/pkg/resolver"
@@ -30,6 +31,8 @@
 	config config
 	list   list
 	peers  tracker.Roster
+	// confirmations are what sidecars know of the named versions.
+	confirmations dater.Confirmations
 	// endpointStatus is the latest status that sidecars reported, by endpoint
 	// address.
 	endpointStatus map[string]endpointStatus
@@ -41,6 +44,8 @@
 	table        *resolver.Table
 	versions     map[string][]forwarder.Version
 	namingFloors namingFloors
+	// undated are the versions without a known naming time.
+	undated map[modelVersion]undatedNaming
 	// values are the values of the store that config was decoded from, to be passed
 	// on to peers.
 	values      map[string]platform.Value
@@ -99,6 +104,9 @@
 		// versionAges are the recorded times since versions were named. They may be
 		// incomplete.
 		versionAges []versionAge
+		// undatedAges are those of versions without a known naming time, since an entry first
+		// read them.
+		undatedAges []versionAge
 		// pausedSince is set by the controller if the values may have been written during a
 		// pause of the process, to the start of that.
 		pausedSince time.Time
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -82,6 +82,8 @@
 		"A value of the configuration store can't be decoded. The previous configuration stays in force.")
 	VersionNamed = register(2106, "version_named", zapcore.InfoLevel,
 		"The operators set a new version of a model's weights.")
+	VersionDated = register(2118, "version_dated", zapcore.InfoLevel,
+		"No entry noticed when a version was named. It counts as named `age` ago, when entries last told a sidecar of an older version.")
 	ListChanged = register(2107, "list_changed", zapcore.InfoLevel,
 		"Endpoints were added to the list, removed from it or changed their state. The fields name them.")
 	EntryUnreadable = register(2108, "entry_unreadable", zapcore.WarnLevel,
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -104,8 +104,15 @@
 func (s *Stager) SetPlan(now time.Time, p Plan) {
 	s.plan = p
 	s.recentMembers.record(now, p.Members)
-	isKnown := slices.ContainsFunc(s.namedVersions, func(n switcher.NamedVersion) bool { return n.Version == p.Version })
-	if p.Version != 0 && !isKnown {
+	known := slices.IndexFunc(s.namedVersions, func(n switcher.NamedVersion) bool { return n.Version == p.Version })
+	switch {
+	case p.Version == 0:
+	case known >= 0:
+		// The entries may have learned since that the version was named earlier.
+		if !p.Held && p.NamedAt.Before(s.namedVersions[known].At) {
+			s.namedVersions[known].At = p.NamedAt
+		}
+	default:
 		s.namedVersions = append(s.namedVersions, switcher.NamedVersion{Version: p.Version, At: p.NamedAt})
 		slices.SortFunc(s.namedVersions, func(a, b switcher.NamedVersion) int { return int(int64(a.Version) - int64(b.Version)) })
 	}
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -178,6 +178,43 @@
 	}
 }
 
+// TestEarlierNamingTimeIsAdopted checks that an endpoint switches by the time at which its
+// version was named if the entries learn that time late.
+func TestEarlierNamingTimeIsAdopted(t *testing.T) {
+	const bound = time.Hour
+	tests := map[string]struct {
+		// earlier is how much earlier the version was named than the first plan told.
+		earlier  time.Duration
+		switches bool
+	}{
+		"unchanged":              {},
+		"named a bound earlier":  {earlier: bound, switches: true},
+		"told later than before": {earlier: -time.Minute},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := &endpoint{staged: map[int][]byte{}, loaded: 1}
+			core, logs := observer.New(zap.InfoLevel)
+			s, plan := newStager(t, e, standin.NewWeights(model, chunks, chunkBytes, 1, 2), 2, bound, zap.New(core))
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			plan.Members = []planner.Member{self, {Instance: "127.0.0.1:2", Region: "r"}}
+			s.SetPlan(time.Now(), plan)
+			for logs.FilterMessage("chunks_complete").Len() == 0 {
+				is.NoErr(ctx.Err()) // the chunks arrive in time
+				s.Reconcile(ctx, time.Now(), e.report())
+				time.Sleep(20 * time.Millisecond)
+			}
+			plan.NamedAt = plan.NamedAt.Add(-tc.earlier)
+			s.SetPlan(time.Now(), plan)
+			s.Reconcile(ctx, time.Now(), e.report())
+			is.Equal(s.Switching(), tc.switches)
+		})
+	}
+}
+
 // TestSlowStagingIsNotOverlapped checks that no second load is prepared while the chunks
 // of the first are being staged, which would mix the chunks of two versions.
 func TestSlowStagingIsNotOverlapped(t *testing.T) {
