Revert "Queue late repeats behind late first requests"

The trace stands: a late repeat at the head of the queue, which may not take the last quarter of an endpoint's slots, holds up late first attempts beside free slots.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -201,16 +201,13 @@
 
 // startsBefore reports whether a is dequeued before b. Requests whose answer was broken
 // off come first, then those that can still meet their objective, then higher priorities,
-// then earlier StartBy times. Late repeats come last: they leave the last slots of an
-// endpoint to others, which must not wait behind them for these.
+// then earlier StartBy times.
 func startsBefore(a, b Request) bool {
 	switch {
 	case a.Resumed != b.Resumed:
 		return a.Resumed
 	case a.Late != b.Late:
 		return !a.Late
-	case a.isLateRepeat() != b.isLateRepeat():
-		return !a.isLateRepeat()
 	case a.Priority != b.Priority:
 		return a.Priority < b.Priority
 	case !a.StartBy.Equal(b.StartBy):
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -286,36 +286,3 @@
 		})
 	}
 }
-
-// TestLateRepeatsDoNotHoldUpOthers checks that a late repeat, which leaves the last slots to
-// others, does not keep a late first request behind it from taking one.
-func TestLateRepeatsDoNotHoldUpOthers(t *testing.T) {
-	tests := map[string]struct {
-		// running is the load of the endpoint when the requests arrive and laterRunning
-		// that of the next report.
-		running, laterRunning int
-		want                  []balancer.Outcome
-		wantStarted           int
-	}{
-		"a slot is free on arrival": {running: 13, laterRunning: 13, want: []balancer.Outcome{balancer.OutcomeQueued, balancer.OutcomeStarted}},
-		"a slot becomes free":       {running: 16, laterRunning: 15, want: []balancer.Outcome{balancer.OutcomeQueued, balancer.OutcomeQueued}, wantStarted: 1},
-	}
-	for name, tc := range tests {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			b := balancer.New(balancer.Config{Region: "r", MaxWaiting: 8, Senders: 1})
-			b.SetEndpoints(at(0), endpoints(1, 16))
-			b.UpdateLoad(at(0), at(0), "a", balancer.Load{Running: tc.running}, 0)
-			repeat := balancer.Request{ID: 1, StartBy: at(100), Repeat: true, Late: true}
-			first := balancer.Request{ID: 2, StartBy: at(120), Late: true, Priority: 1}
-			for i, r := range []balancer.Request{repeat, first} {
-				is.Equal(b.Offer(at(1), r).Outcome, tc.want[i])
-			}
-			started := b.UpdateLoad(at(60), at(60), "a", balancer.Load{Running: tc.laterRunning}, 0)
-			is.Equal(len(started), tc.wantStarted)
-			for _, d := range started {
-				is.Equal(d.ID, first.ID)
-			}
-		})
-	}
-}
--- a/pkg/balancer/pick.go
+++ b/pkg/balancer/pick.go
@@ -106,7 +106,7 @@
 // request. A late repeat does not take the last ones: during an overload, a request
 // that can meet its objective arrives before the next slot becomes free.
 func (b *Balancer) leavesSlots(now time.Time, m *member, r Request) bool {
-	return !r.isLateRepeat() || m.load(now, b.cfg.Senders) < (1-lateReservedShare)*m.capacity()
+	return !r.Repeat || !r.Late || m.load(now, b.cfg.Senders) < (1-lateReservedShare)*m.capacity()
 }
 
 // isAvailable reports whether an endpoint can run the request now: it is healthy and has a
--- a/pkg/balancer/request.go
+++ b/pkg/balancer/request.go
@@ -85,10 +85,6 @@
 	Random uint64
 }
 
-// isLateRepeat reports whether the caller was refused before and the request can no longer meet
-// its objective.
-func (r Request) isLateRepeat() bool { return r.Repeat && r.Late }
-
 // Outcome is the result of offering a request.
 type Outcome string
 
