--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -82,7 +82,7 @@
 		"A value of the configuration store can't be decoded. The previous configuration stays in force.")
 	VersionNamed = register(2106, "version_named", zapcore.InfoLevel,
 		"The operators set a new version of a model's weights.")
-	VersionDated = register(2118, "version_dated", zapcore.InfoLevel,
+	VersionDated = register(2121, "version_dated", zapcore.InfoLevel,
 		"No entry noticed when a version was named. It counts as named `age` ago, when entries last told a sidecar of an older version.")
 	ListChanged = register(2107, "list_changed", zapcore.InfoLevel,
 		"Endpoints were added to the list, removed from it or changed their state. The fields name them.")
@@ -144,7 +144,7 @@
 		"An attempt at an endpoint failed without an answer to forward. `may_have_run` says whether the endpoint may have run it; `cause` is the error.")
 )
 
-// Events about faults of this program.
+// HandlerPanicked is about faults of this program.
 var HandlerPanicked = register(3014, "handler_panicked", zapcore.ErrorLevel,
 	"A request met a fault of this program. Its caller was told that the outcome is unknown, or, within an answer, its connection was closed. This is a bug; report it with the `stack`.")
 
