Answer each request of which a part has been read before the drain

What callers saw: beside a stop of an entry, 3 s after SIGTERM, connections were closed with neither an answer nor a refusal in the middle of a request, also where the rest of it arrived at once. Requests that must not be repeated were lost by it, as the entry had read them.

Cause: http.Server.Shutdown. It takes a kept connection for idle until the whole header of its next request has been read, and closes it. And once it has been called, the server drops each request whose header it completes afterwards (net/http, conn.serve: "if c.server.shuttingDown() { return }"), also on connections that it has not closed.

Now drainer.Server ends reading, by a deadline in the past, on connections on which no part of a request has arrived since the last answer. If a read has returned a part just before, the deadline is taken back and the request is answered. So the decision and the reading can't cross. As before, answers during a drain close their connections.

Ruled out, trial: closing idle connections from the drain.

Evidence: TestDrainAnswersRequestsThatHaveBegun, 6 of 11 cases fail with Shutdown.

--- a/internal/gatewayserver/drain.go
+++ b/internal/gatewayserver/drain.go
@@ -8,13 +8,14 @@
 	"go.uber.org/zap"
 
 	"flamingoledge.org/flamingoledge/internal/configurator"
+	"flamingoledge.org/flamingoledge/internal/drainer"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/platform"
 )
 
 // drain withdraws readiness, keeps accepting requests until the platform's load
 // balancer has noticed and waits for the requests in progress.
-func (s *Server) drain(server *http.Server) {
+func (s *Server) drain(server *drainer.Server) {
 	logger.Log(s.cfg.Logger, logger.ProcessDraining, zap.Int64("in_progress", s.forward.InFlight()))
 	s.leaving.Store(true)
 	s.forward.StartDraining()
@@ -23,7 +24,7 @@
 	time.Sleep(min(deregisterDelay, time.Until(deadline)))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	_ = server.Shutdown(ctx)
+	server.Drain(ctx)
 }
 
 // handleReady serves the readiness check of the platform's load balancer. The entry
--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -22,6 +22,7 @@
 
 	"flamingoledge.org/flamingoledge/internal/configurator"
 	"flamingoledge.org/flamingoledge/internal/connector"
+	"flamingoledge.org/flamingoledge/internal/drainer"
 	"flamingoledge.org/flamingoledge/internal/exchanger"
 	"flamingoledge.org/flamingoledge/internal/forwarder"
 	"flamingoledge.org/flamingoledge/internal/gossiper"
@@ -192,7 +193,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for nodes")
 	}
-	server := s.newCallersServer(background)
+	server := drainer.New(s.newCallersServer(background), callers)
 	readiness := &http.Server{Handler: http.HandlerFunc(s.handleReady), ReadHeaderTimeout: headerTimeout}
 	var wg sync.WaitGroup
 	serveErrs := make(chan error, 3)
@@ -209,7 +210,7 @@
 	wg.Go(func() { pauselogger.Run(background, s.cfg.Clock, s.cfg.Logger) })
 	wg.Go(func() { serveErrs <- connector.Serve(background, nodes, nil, s.newMux()) })
 	wg.Go(func() { serveErrs <- readiness.Serve(ready) })
-	wg.Go(func() { serveErrs <- server.Serve(callers) })
+	wg.Go(func() { serveErrs <- server.Serve() })
 	logger.Log(s.cfg.Logger, logger.ProcessStarted, zap.String("address", s.self), zap.String("callers_address", n.CallersAddress))
 	select {
 	case <-ctx.Done():
