--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -144,7 +144,7 @@
 		"An attempt at an endpoint failed without an answer to forward. `may_have_run` says whether the endpoint may have run it; `cause` is the error.")
 )
 
-// HandlerPanicked is about faults of this program.
+// HandlerPanicked reports a fault of this program.
 var HandlerPanicked = register(3014, "handler_panicked", zapcore.ErrorLevel,
 	"A request met a fault of this program. Its caller was told that the outcome is unknown, or, within an answer, its connection was closed. This is a bug; report it with the `stack`.")
 
