--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -201,8 +201,8 @@
 	if a.answer.Status < http.StatusInternalServerError {
 		return nil
 	}
-	sends, isReplaced := f.silence.sendCount(c)
-	if isReplaced {
+	sends, isReplacing := f.silence.sendCount(c)
+	if isReplacing {
 		return &failure{result: balancer.ResultFailed, mayHaveRun: true, sent: true, hasAnswer: true, cause: fmt.Errorf("endpoint failed with status %d", a.answer.Status)}
 	}
 	if c.route.Kind != resolver.KindSafe || sends >= c.route.MaxAttempts {
--- a/internal/forwarder/replacement.go
+++ b/internal/forwarder/replacement.go
@@ -214,7 +214,7 @@
 func (sw *silenceWatch) withdrawUnsent(w *watchedAttempt) {
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
-	if rep := w.current(); rep != nil && !rep.isSent {
+	if rep := w.running(); rep != nil && !rep.isSent {
 		rep.cancel(context.Canceled)
 	}
 }
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -39,8 +39,8 @@
 	replaced bool
 }
 
-// current returns the replacement that is running; nil if there is none.
-func (w *watchedAttempt) current() *replacement {
+// running returns the replacement that is running; nil if there is none.
+func (w *watchedAttempt) running() *replacement {
 	if len(w.replacements) == 0 {
 		return nil
 	}
@@ -103,7 +103,7 @@
 	wasSilent, w.isSilent = w.isSilent, false
 	w.hasOutput, w.isDelivering = true, true
 	sw.detector.RecordOutput(now, id)
-	if rep := w.current(); rep != nil {
+	if rep := w.running(); rep != nil {
 		rep.cancel(context.Canceled)
 	}
 	return true, wasSilent
@@ -147,7 +147,7 @@
 			n++
 		}
 	}
-	return n, c.watched.current() != nil
+	return n, c.watched.running() != nil
 }
 
 // replaceSilent starts to replace each attempt whose endpoint has fallen silent.
@@ -161,7 +161,7 @@
 	sw.nextScan = now.Add(silenceScanInterval)
 	for _, s := range sw.detector.Check(now) {
 		w := sw.attempts[s.ID]
-		if w.isDelivering || w.replaced || w.current() != nil || !w.call.mayRepeat() {
+		if w.isDelivering || w.replaced || w.running() != nil || !w.call.mayRepeat() {
 			continue
 		}
 		rep := newReplacement(w.call)
