--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,5 +3,5 @@
 set -uo pipefail
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.."
-[ -x target/flamingoledge-node ] && [ -x target/review-rig stop] || exit 2
+[ -x target/flamingoledge-node ] && [ -x target/review-rig ] || exit 2
 exec target/review-rig stop "$folder"
