Store a naming time only if no other was stored since the read

Cause: entries notice a naming at the same moment, read no stored time and all write theirs. The last write stayed, also that of a clock that is ahead. Evidence: after the restart all five entries log an age of 1.12 to 1.2 s for a version named 3.7 s before; where an exact clock wrote last, 3.52 to 3.62 s.

The write is conditional now (the store's "at"), so that an entry that lost the race reads again and replaces a later time only by an earlier one. TestEarliestNamingTimeIsStored failed before.

--- a/internal/gatewayserver/naming_records.go
+++ b/internal/gatewayserver/naming_records.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"flamingoledge.org/flamingoledge/internal/logger"
+	"flamingoledge.org/flamingoledge/pkg/provider"
 	"flamingoledge.org/flamingoledge/platform"
 )
 
@@ -35,7 +36,7 @@
 func (s *Server) loadNamings() []platform.NamingRecord {
 	store := platform.NewNamingStore(s.cfg.Settings.Store)
 	defer store.Close()
-	stored, err := s.readNamings(store)
+	stored, _, err := s.readNamings(store)
 	if err != nil {
 		logger.Log(s.cfg.Logger, logger.NamingsUnread, zap.Error(err))
 	}
@@ -54,11 +55,12 @@
 	return e
 }
 
-// readNamings reads and decodes the naming records and skips invalid ones.
-func (s *Server) readNamings(store *platform.Store) (out []platform.NamingRecord, err error) {
-	values, _, err := store.ReadLatest(storeTimeout)
+// readNamings reads and decodes the naming records and skips invalid ones. It returns the
+// position after the last one too.
+func (s *Server) readNamings(store *platform.Store) (out []platform.NamingRecord, end provider.Position, err error) {
+	values, end, err := store.ReadLatest(storeTimeout)
 	if err != nil {
-		return nil, err
+		return nil, end, err
 	}
 	for _, v := range values {
 		n, derr := platform.DecodeNamingRecord(v.Key, v.Data)
@@ -68,7 +70,7 @@
 		}
 		out = append(out, n)
 	}
-	return out, nil
+	return out, end, nil
 }
 
 // versionAges returns the ages of the versions in naming records at a wall time.
@@ -79,9 +81,8 @@
 	return out
 }
 
-// recordNaming stores the time at which a version was named. A time that is already
-// stored takes precedence, since it comes from an entry that noticed the version
-// earlier.
+// recordNaming stores the time at which a version was named. An earlier time that is already
+// stored takes precedence, since it comes from an entry that noticed the version earlier.
 func (s *Server) recordNaming(model string, version uint64, at time.Time) {
 	n := platform.NamingRecord{Model: model, Version: version, NamedUnixMillis: at.UnixMilli()}
 	n.Undated = s.board.View().config.isUndated(model, version)
@@ -91,7 +92,7 @@
 // checkNaming adopts the stored naming time of a version, or reports that there is none.
 func (s *Server) checkNaming(named modelVersion) {
 	s.retryNaming(named.model, named.version, func(store *platform.Store) error {
-		if _, err := s.adoptNamings(store, named); err != nil {
+		if _, _, err := s.adoptNamings(store, named); err != nil {
 			return err
 		}
 		return s.board.Send(context.Background(), namingUnstored{named: named})
@@ -129,19 +130,22 @@
 }
 
 // adoptNamings adopts and returns the stored naming times of a version and of older ones,
-// whose bounds end earlier; the read at the start may have failed.
-func (s *Server) adoptNamings(store *platform.Store, named modelVersion) ([]platform.NamingRecord, error) {
-	stored, err := s.readNamings(store)
+// whose bounds end earlier; the read at the start may have failed. It returns the position after
+// the last record too.
+func (s *Server) adoptNamings(store *platform.Store, named modelVersion) ([]platform.NamingRecord, provider.Position, error) {
+	stored, end, err := s.readNamings(store)
 	if err != nil {
-		return nil, err
+		return nil, end, err
 	}
 	stored = slices.DeleteFunc(stored, func(v platform.NamingRecord) bool { return v.Model != named.model || v.Version > named.version })
-	return stored, s.board.Send(context.Background(), configRead{}.withNamings(time.Now(), stored))
+	return stored, end, s.board.Send(context.Background(), configRead{}.withNamings(time.Now(), stored))
 }
 
-// tryRecordNaming makes one attempt of recordNaming.
+// tryRecordNaming makes one attempt of recordNaming. It fails if another record was stored since
+// the read: several entries notice a version at the same moment, and the clocks of some may be
+// ahead.
 func (s *Server) tryRecordNaming(store *platform.Store, n platform.NamingRecord) error {
-	stored, err := s.adoptNamings(store, modelVersion{model: n.Model, version: n.Version})
+	stored, end, err := s.adoptNamings(store, modelVersion{model: n.Model, version: n.Version})
 	if err != nil {
 		return err
 	}
@@ -155,5 +159,5 @@
 	if err != nil {
 		return err
 	}
-	return store.Append(n.Key(), value, storeTimeout)
+	return store.AppendAt(end, n.Key(), value, storeTimeout)
 }
--- a/internal/gatewayserver/naming_records_test.go
+++ b/internal/gatewayserver/naming_records_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -160,6 +163,41 @@
 	}
 }
 
+// TestEarliestNamingTimeIsStored guards against a version bound that ends late after a stop of all
+// entries: two entries notice a version at once, and the one whose clock is ahead writes last.
+func TestEarliestNamingTimeIsStored(t *testing.T) {
+	is := is.New(t)
+	store := standin.NewStore()
+	defer store.Close()
+	held, release := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	delayed := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			once.Do(func() {
+				close(held)
+				<-release
+			})
+		}
+		store.ServeHTTP(w, r)
+	}))
+	defer delayed.Close()
+	ahead, exact := newNamingServer(t, store), newNamingServer(t, store)
+	ahead.cfg.Settings.Store = delayed.Listener.Addr().String()
+	namedAt := time.Now()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ahead.recordNaming("m", 2, namedAt.Add(2400*time.Millisecond))
+	}()
+	<-held
+	exact.recordNaming("m", 2, namedAt)
+	close(release)
+	<-done
+	at, ok := storedNaming(t, store, 2)
+	is.True(ok)
+	is.True(at.Sub(namedAt).Abs() < 5*time.Millisecond)
+}
+
 // TestNamingTimesOfOlderVersionsAreAdopted guards against an entry that enforces the bound
 // of the newest version only, because it could not read the naming times at its start.
 func TestNamingTimesOfOlderVersionsAreAdopted(t *testing.T) {
