Sidecars tell entries that start when versions were named

Callers saw the same as with the race of writers: requests begin on the old version after its bound, where all entries stop right after a naming and each clock that stored its time was ahead.

Cause: the stored time takes the wall clock of who wrote it, and is all that the next starts have. Sidecars were told the age of the version by entries that noticed it, and forget it with the plan. They keep it now by their own steady clock (dater.Namings) and tell it with each request for a plan; the earlier time holds, but none before the last confirmation that lacked the version. Versions that the store has lost are not brought back.

--- a/internal/agentserver/confirmed.go
+++ b/internal/agentserver/confirmed.go
@@ -28,5 +28,29 @@
 	return out
 }
 
+// withNamed returns the namings with those in the reply to a plan request that was received at
+// receivedAt. A time that is too early would grow with each entry that is told of it, so the delay
+// of the reply is not added to its age.
+func withNamed(n dater.Namings, receivedAt time.Time, p *messenger.PlanReply) dater.Namings {
+	for _, v := range p.GetVersions() {
+		if !v.GetHeld() {
+			n = n.With(dater.Naming{
+				Model: v.GetModel(), Version: v.GetVersion(), At: receivedAt.Add(-time.Duration(v.GetAgeMs()) * time.Millisecond), Undated: v.GetUndated(),
+			})
+		}
+	}
+	return n
+}
+
+// toNamed encodes namings.
+func toNamed(now time.Time, n dater.Namings) (out []*messenger.NamedVersion) {
+	for _, v := range n.All() {
+		out = append(out, &messenger.NamedVersion{
+			Model: v.Model, Version: v.Version, AgeMs: uint32(min(max(now.Sub(v.At)/time.Millisecond, 0), maxAgeMillis)), Undated: v.Undated,
+		})
+	}
+	return out
+}
+
 // maxAgeMillis caps the ages that are sent, at about 25 days.
 const maxAgeMillis = 1 << 31
--- a/internal/agentserver/server.go
+++ b/internal/agentserver/server.go
@@ -89,6 +89,8 @@
 
 	// confirmations are the versions that entries have confirmed. Only pollPlan uses it.
 	confirmations dater.Confirmations
+	// namings are the versions of which entries have told. Only pollPlan uses it.
+	namings dater.Namings
 
 	// entries are the addresses of the entries in the latest plan.
 	entries atomic.Pointer[[]string]
@@ -321,9 +323,11 @@
 	wait := planLongPollTimeout/2 + time.Duration(rand.Int64N(int64(planLongPollTimeout/2)))
 	p, err := messenger.NewDRPCRelayClient(conn).Plan(ctx, &messenger.PlanRequest{
 		Service: s.cfg.Settings.Service, KnownDigest: knownDigest, WaitMs: uint32(wait.Milliseconds()), Confirmed: toConfirmed(sentAt, s.confirmations),
+		Named: toNamed(sentAt, s.namings),
 	})
 	if err == nil {
 		s.confirmations = withConfirmed(s.confirmations, sentAt, p)
+		s.namings = withNamed(s.namings, s.cfg.Clock(), p)
 	}
 	return p, err
 }
--- a/internal/gatewayserver/relay.go
+++ b/internal/gatewayserver/relay.go
@@ -146,6 +146,7 @@
 func (s *Server) Plan(ctx context.Context, req *messenger.PlanRequest) (*messenger.PlanReply, error) {
 	receivedAt := s.cfg.Clock()
 	s.receiveConfirmed(req.GetConfirmed())
+	s.receiveNamed(req.GetNamed())
 	timeout := time.NewTimer(min(time.Duration(req.GetWaitMs())*time.Millisecond, maxPlanWait))
 	defer timeout.Stop()
 	for {
--- a/internal/gatewayserver/undated.go
+++ b/internal/gatewayserver/undated.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"flamingoledge.org/flamingoledge/internal/forwarder"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
 	"flamingoledge.org/flamingoledge/pkg/controller"
@@ -33,6 +34,8 @@
 type (
 	// versionsConfirmed contains what a sidecar knows.
 	versionsConfirmed struct{ confirmed []*messenger.ConfirmedVersion }
+	// namingsTold contains the versions of which entries had told a sidecar.
+	namingsTold struct{ named []*messenger.NamedVersion }
 	// namingUnstored is sent if the store has no naming time of a version.
 	namingUnstored struct{ named modelVersion }
 	// namingNeeded requests the stored naming time of a version.
@@ -51,6 +54,12 @@
 		return s.withConfirmed(now, e.confirmed).withDates(now)
 	case presenceReceived:
 		return s.withConfirmed(now, e.presence.GetConfirmed()).withDates(now)
+	case namingsTold:
+		before := s.config
+		if s.config = s.config.withToldNamings(now, e.named); s.config.isDatedAs(before) {
+			return s, nil
+		}
+		return s, []controller.Action{endpointsChanged{}}
 	case namingUnstored:
 		u, ok := s.config.undated[e.named]
 		if !ok {
@@ -157,6 +166,50 @@
 	s.board.Post(versionsConfirmed{confirmed: confirmed})
 }
 
+// receiveNamed passes on which versions were named, as entries told a sidecar.
+func (s *Server) receiveNamed(named []*messenger.NamedVersion) {
+	config := s.board.View().config
+	now := s.cfg.Clock()
+	if !config.withToldNamings(now, named).isDatedAs(config) {
+		s.board.Post(namingsTold{named: named})
+	}
+}
+
+// withToldNamings adopts the earlier naming times that entries told a sidecar. Stored ones may be
+// those of a clock that was ahead. A version that is newer than all that operators named was lost
+// in a restore of the store.
+func (c config) withToldNamings(now time.Time, named []*messenger.NamedVersion) config {
+	for _, n := range named {
+		if n.GetVersion() > c.newest(n.GetModel()).Version {
+			continue
+		}
+		told := []versionAge{{model: n.GetModel(), version: n.GetVersion(), age: age(n.GetAgeMs())}}
+		c = c.withVersionAges(now, told, confirmation{})
+		if !n.GetUndated() {
+			c = c.withoutUndated(told)
+		}
+	}
+	return c
+}
+
+// namingNoise is a difference between two naming times that is due to the way of messages.
+const namingNoise = 20 * time.Millisecond
+
+// isDatedAs reports whether c has the same versions as other, named at about the same times.
+func (c config) isDatedAs(other config) bool {
+	if len(c.undated) != len(other.undated) {
+		return false
+	}
+	for model, vs := range c.versions {
+		if !slices.EqualFunc(vs, other.versions[model], func(a, b forwarder.Version) bool {
+			return a.Version == b.Version && a.KnownSince.Sub(b.KnownSince).Abs() < namingNoise
+		}) {
+			return false
+		}
+	}
+	return true
+}
+
 // withConfirmed adds what sidecars know, if that may date a version.
 func (s state) withConfirmed(now time.Time, confirmed []*messenger.ConfirmedVersion) state {
 	if !s.config.needsConfirmations() {
--- a/internal/gatewayserver/undated_test.go
+++ b/internal/gatewayserver/undated_test.go
@@ -113,3 +113,43 @@
 		})
 	}
 }
+
+// TestSidecarsCorrectStoredNamingTimes guards against a version bound that ends late after a stop of
+// all entries because the stored naming time is that of a clock that was ahead.
+func TestSidecarsCorrectStoredNamingTimes(t *testing.T) {
+	const (
+		ms = time.Millisecond
+		// storedAge is the age that the stored time gives, and toldAge the one that sidecars tell.
+		storedAge, toldAge = 1100 * ms, 3500 * ms
+	)
+	told := func(version uint64, undated bool) namingsTold {
+		return namingsTold{named: []*messenger.NamedVersion{{Model: "m", Version: version, AgeMs: uint32(toldAge / ms), Undated: undated}}}
+	}
+	tests := map[string]struct {
+		told namingsTold
+		// floor is the age of the last confirmation that lacked the version; 0 for none.
+		floor time.Duration
+		want  time.Duration
+	}{
+		"sidecars know better":              {told: told(2, false), want: toldAge},
+		"an entry noticed it late":          {told: told(2, true), want: toldAge},
+		"the version was named after that":  {told: told(2, false), floor: 1500 * ms, want: 1500 * ms},
+		"an older version":                  {told: told(1, false), want: storedAge},
+		"a version that the store has lost": {told: told(3, false), want: storedAge},
+		"nothing told":                      {want: storedAge},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			var c config
+			c = c.withVersionAges(now, []versionAge{{model: "m", version: 2, age: storedAge}}, confirmation{})
+			if tc.floor > 0 {
+				c.namingFloors = namingFloors{{model: "m", version: 2}: now.Add(-tc.floor)}
+			}
+			s, _ := datingController{}.Handle(now, state{config: c}, tc.told)
+			is.Equal(s.config.newest("m").Version, uint64(2))
+			is.Equal(now.Sub(s.config.newest("m").KnownSince), tc.want)
+		})
+	}
+}
--- a/pkg/dater/dater_test.go
+++ b/pkg/dater/dater_test.go
@@ -63,3 +63,26 @@
 	_, ok = c.LastBefore("a", 2)
 	is.True(ok)
 }
+
+// TestNamings checks which of two naming times of a version is kept.
+func TestNamings(t *testing.T) {
+	now := time.Unix(1000, 0)
+	named := func(age time.Duration, undated bool) dater.Naming {
+		return dater.Naming{Model: "m", Version: 5, At: now.Add(-age), Undated: undated}
+	}
+	tests := map[string]struct {
+		known, told, want dater.Naming
+	}{
+		"earlier":                {known: named(time.Second, false), told: named(3*time.Second, false), want: named(3*time.Second, false)},
+		"later":                  {known: named(3*time.Second, false), told: named(time.Second, false), want: named(3*time.Second, false)},
+		"noticed by an entry":    {known: named(3*time.Second, true), told: named(time.Second, false), want: named(time.Second, false)},
+		"not noticed by another": {known: named(time.Second, false), told: named(3*time.Second, true), want: named(time.Second, false)},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := dater.Namings{}.With(tc.known).With(tc.told)
+			is.Equal(n.All(), []dater.Naming{tc.want})
+		})
+	}
+}
