Refuse during a stop what can't be answered before its end

Cause: a stopping entry passed on whatever it read until its end. It holds for each way to an endpoint: a new connection, a kept one, a body that ends late, the queue, a retry, a resumed stream, and requests that run once only. Ruled out as the cause: how long connections without a request are kept, since kept ones are cut too.

pkg/quiescer decides, before each attempt and with the time as an argument, whether the answer can end in what is left: certainly by the request's deadline or, for requests that come while the load balancer still sends callers, by the expected time. The others get 503 "stopping" at once; queued ones when the stop begins.

--- a/internal/forwarder/acquire.go
+++ b/internal/forwarder/acquire.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -24,14 +25,20 @@
 	var zones []string
 	for {
 		startedAt := f.cfg.Clock()
+		if p := f.checkStop(c, startedAt); p != nil {
+			return d, f.orUnknownOutcome(c, p)
+		}
 		var err error
-		r = f.balancerRequest(c, startedAt)
+		r = f.withinStop(c, f.balancerRequest(c, startedAt))
 		r.ExcludeZones = zones
-		d, err = dp.awaitDecision(c.ctx, f.cfg.Clock, r)
+		d, err = dp.awaitDecision(c.ctx, f.stopBegun(), f.cfg.Clock, r)
 		c.waitTime += f.cfg.Clock().Sub(startedAt)
 		if d.Declining > 0 {
 			f.cfg.Metrics.Add("requests_kept_from_endpoints", 1)
 		}
+		if errors.Is(err, errRevised) {
+			continue
+		}
 		if err != nil {
 			return d, f.canceledProblem(c)
 		}
@@ -52,13 +59,8 @@
 			f.recordRedecidedByEvacuation()
 		}
 		dp.recordEnd(now, d.Endpoint.ID, d.ID, balancer.ResultCanceled)
-		if p != nil && c.unknownOutcome != nil {
-			// An earlier attempt may have run the request, regardless of why another
-			// one is not allowed.
-			return d, f.unknownOutcome(c)
-		}
 		if p != nil {
-			return d, p
+			return d, f.orUnknownOutcome(c, p)
 		}
 		// The endpoint's version has become too old or its zone was evacuated, also if that
 		// was while the check waited for probes.
@@ -69,6 +71,10 @@
 	if c.unknownOutcome != nil {
 		return d, f.unknownOutcome(c)
 	}
+	if p := f.checkStop(c, f.cfg.Clock()); p != nil {
+		f.recordAdmission(c, dp, r, d, retryTime{delay: p.RetryAfter})
+		return d, p
+	}
 	code := CodeBusy
 	if d.Outcome == balancer.OutcomeNoEndpoint {
 		code = CodeNoEndpoint
@@ -78,6 +84,15 @@
 	return d, notRun(code, told.delay, "%s, %d waiting, waited %d ms, first sent %d ms before, %d endpoints accept none now, %d are in evacuated zones", refusalReason(d), d.Waiting, c.waitTime.Milliseconds(), c.receivedAt.Sub(c.firstSentAt).Milliseconds(), d.Declining, d.Evacuated)
 }
 
+// orUnknownOutcome returns why another attempt of a call is not allowed, unless an earlier one may
+// have run the request.
+func (f *Forwarder) orUnknownOutcome(c *call, p *Problem) *Problem {
+	if c.unknownOutcome != nil {
+		return f.unknownOutcome(c)
+	}
+	return p
+}
+
 // refusalReason describes why the balancer refused a request.
 func refusalReason(d balancer.Decision) string {
 	switch {
@@ -117,7 +132,7 @@
 	}
 	if c.engine != nil {
 		r.PrefillTime = predictor.PrefillTime(c.engine, c.prompt())
-		r.SlotTime = slotTime(c)
+		r.SlotTime = slotTime(c, c.answerTokens())
 	}
 	// The ID tells apart the requests of a workspace with the same content.
 	r.Rank = shedder.Rank(c.fingerprint, xxhash.Sum64String(c.RequestID))
@@ -125,12 +140,12 @@
 	return r
 }
 
-// slotTime returns how long a call is expected to occupy a slot of an engine that is
-// otherwise full.
-func slotTime(c *call) time.Duration {
+// slotTime returns how long a call whose answer has a number of tokens is expected to occupy a slot
+// of an engine that is otherwise full.
+func slotTime(c *call, answerTokens int) time.Duration {
 	e := c.engine
-	passes := (c.answerTokens() + e.Stride - 1) / max(e.Stride, 1)
-	context := float64(c.prompt()) + float64(c.answerTokens())/2
+	passes := (answerTokens + e.Stride - 1) / max(e.Stride, 1)
+	context := float64(c.prompt()) + float64(answerTokens)/2
 	return predictor.TimeToFirstToken(e, e.Slots, 0, c.prompt()) + time.Duration(max(passes-1, 0))*predictor.PassTime(e, e.Slots, context)
 }
 
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -27,7 +27,7 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.Itoa(length))
 	}
-	if f.draining.Load() {
+	if f.isStopping() {
 		h.Set("Connection", "close")
 	}
 	c.headerSent = true
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -27,6 +27,8 @@
 	cancel  context.CancelFunc
 
 	receivedAt time.Time
+	// readAt is when the request had been read completely.
+	readAt time.Time
 	// firstSentAt is when the caller first sent the request, as estimated.
 	firstSentAt time.Time
 	// answerDeadline is the earlier of the route's timeout and the caller's deadline,
@@ -128,6 +130,7 @@
 	if p = f.readBody(w, c, state.Table.Configuration().Limits.MaxBodyBytes); p != nil {
 		return p
 	}
+	c.readAt = f.cfg.Clock()
 	f.startEstimator.estimate(c)
 	c.ctx, c.cancel = context.WithTimeout(r.Context(), c.answerDeadline.Sub(f.cfg.Clock()))
 	if p = f.checkAllowed(c, state); p != nil {
@@ -148,12 +151,18 @@
 
 // checkAllowed checks the conditions that must hold immediately before each attempt.
 func (f *Forwarder) checkAllowed(c *call, state *RoutingState) *Problem {
+	if p := f.checkStop(c, f.cfg.Clock()); p != nil {
+		return p
+	}
 	// A retry may follow a crash sooner than the probe of the endpoint finds it. The wait
 	// comes first, so that the time that it takes counts in the ages checked below.
 	if err := f.cfg.Crashes.AwaitProbes(c.ctx, c.suspects.keys); err != nil {
 		return f.canceledProblem(c)
 	}
 	now := f.cfg.Clock()
+	if p := f.checkStop(c, now); p != nil {
+		return p
+	}
 	c.configAge = now.Sub(state.ConfirmedAt)
 	if c.requiresKey && c.configAge > f.cfg.Bounds.Revocation {
 		return notRun(CodeStaleConfiguration, noConfigRetryAfter, "it is not certain that the key is still valid")
--- a/internal/forwarder/dispatcher.go
+++ b/internal/forwarder/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -64,9 +65,13 @@
 	retryTimes *retryTimes
 }
 
+// errRevised reports that a request was taken back from the queue, because how long it may wait has
+// changed.
+var errRevised = errors.New("the request has to be offered again")
+
 // awaitDecision offers a request to the balancer and waits for its decision until ctx
-// ends.
-func (dp *dispatcher) awaitDecision(ctx context.Context, clock func() time.Time, r balancer.Request) (balancer.Decision, error) {
+// ends. A request that is queued when revised is closed has to be offered again.
+func (dp *dispatcher) awaitDecision(ctx context.Context, revised <-chan struct{}, clock func() time.Time, r balancer.Request) (balancer.Decision, error) {
 	dp.mu.Lock()
 	now := clock()
 	d := dp.balancer.Offer(now, r)
@@ -89,6 +94,11 @@
 			// differ slightly from clock. If the request has not expired yet,
 			// check again soon.
 			expiry.Reset(expiryRetryInterval)
+		case <-revised:
+			if dp.abandon(r.ID) {
+				return d, errRevised
+			}
+			return <-ch, nil
 		case <-ctx.Done():
 			if !dp.abandon(r.ID) {
 				d = <-ch
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -125,14 +125,14 @@
 	nextBackoffCheck time.Time
 
 	inFlight   atomic.Int64
-	draining   atomic.Bool
+	stopping   stopState
 	requestIDs atomic.Uint64
 	latency    *latencyHistogram
 }
 
 // New returns a forwarder without endpoints.
 func New(cfg Config) *Forwarder {
-	f := &Forwarder{cfg: cfg, silence: newSilenceWatch(), latency: newLatencyHistogram(cfg.Metrics)}
+	f := &Forwarder{cfg: cfg, silence: newSilenceWatch(), latency: newLatencyHistogram(cfg.Metrics), stopping: stopState{begun: make(chan struct{})}}
 	f.startEstimator.estimator = estimator.New()
 	f.dispatchers.cfg = balancer.Config{Name: cfg.Name, Region: cfg.Region, RemoteRegionPenalty: remotePenalty, MaxWaiting: maxWaiting, Senders: 1, ExpectedSenders: cfg.ExpectedEntries, Shedding: &cfg.Shedding}
 	f.retryBudgets.cfg = retrier.Config{
@@ -171,10 +171,6 @@
 // InFlight returns the number of requests in progress.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
-// StartDraining makes the forwarder close the caller's connection after each further
-// answer.
-func (f *Forwarder) StartDraining() { f.draining.Store(true) }
-
 // SetEndpoints replaces the endpoints of a service.
 func (f *Forwarder) SetEndpoints(service string, endpoints []balancer.Endpoint) {
 	f.deliveryDelays.setVersions(endpoints)
@@ -216,7 +212,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	if f.draining.Load() {
+	if f.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
 	c := f.newCall(r)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -26,6 +26,7 @@
 	"flamingoledge.org/flamingoledge/pkg/advisor"
 	"flamingoledge.org/flamingoledge/pkg/balancer"
 	"flamingoledge.org/flamingoledge/pkg/quarantiner"
+	"flamingoledge.org/flamingoledge/pkg/quiescer"
 	"flamingoledge.org/flamingoledge/pkg/resolver"
 )
 
@@ -628,7 +629,7 @@
 func TestDrainingClosesPersistentConnections(t *testing.T) {
 	is := is.New(t)
 	f := newTestForwarder(t, newEndpoint(t, respondWith("x")))
-	f.forwarder.StartDraining()
+	f.forwarder.StartDraining(quiescer.New(quiescer.Config{Grace: time.Minute}, time.Now()))
 	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
 	is.NoErr(err)
 	defer func() { _ = conn.Close() }()
--- a/internal/forwarder/problem.go
+++ b/internal/forwarder/problem.go
@@ -27,6 +27,7 @@
 	CodeConvicted          Code = "convicted"
 	CodeBusy               Code = "busy"
 	CodeNoEndpoint         Code = "no_endpoint"
+	CodeStopping           Code = "stopping"
 	CodeDeadline           Code = "deadline"
 	CodeUnknownOutcome     Code = "outcome_unknown"
 	CodeTimeout            Code = "timeout"
--- a/internal/forwarder/replacement.go
+++ b/internal/forwarder/replacement.go
@@ -90,7 +90,7 @@
 		return nil
 	}
 	dp := f.dispatchers.get(c.service)
-	d, err := dp.awaitDecision(c.ctx, f.cfg.Clock, r)
+	d, err := dp.awaitDecision(c.ctx, nil, f.cfg.Clock, r)
 	if err != nil || d.Outcome != balancer.OutcomeStarted {
 		return nil
 	}
--- a/internal/gatewayserver/drain.go
+++ b/internal/gatewayserver/drain.go
@@ -10,6 +10,7 @@
 	"flamingoledge.org/flamingoledge/internal/configurator"
 	"flamingoledge.org/flamingoledge/internal/drainer"
 	"flamingoledge.org/flamingoledge/internal/logger"
+	"flamingoledge.org/flamingoledge/pkg/quiescer"
 	"flamingoledge.org/flamingoledge/platform"
 )
 
@@ -18,10 +19,10 @@
 func (s *Server) drain(server *drainer.Server) {
 	logger.Log(s.cfg.Logger, logger.ProcessDraining, zap.Int64("in_progress", s.forward.InFlight()))
 	s.leaving.Store(true)
-	s.forward.StartDraining()
-	startedAt := time.Now()
-	deadline := startedAt.Add(configurator.Seconds(s.cfg.Settings.Bounds.GraceSeconds) - stopMargin)
-	time.Sleep(min(deregisterDelay, time.Until(deadline)))
+	grace := max(configurator.Seconds(s.cfg.Settings.Bounds.GraceSeconds)-stopMargin, 0)
+	s.forward.StartDraining(quiescer.New(quiescer.Config{Grace: grace, RegularTime: regularTime, DeliveryTime: deliveryTime}, s.cfg.Clock()))
+	deadline := time.Now().Add(grace)
+	time.Sleep(min(deregisterDelay, grace))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	server.Drain(ctx)
--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -74,6 +74,12 @@
 	// the platform's load balancer checks readiness once a second and removes an
 	// entry after two failed checks.
 	deregisterDelay = 3 * time.Second
+	// regularTime is how long after a stop request callers that the load balancer has just
+	// connected send their requests: until its second failed check, and a moment more.
+	regularTime = 2500 * time.Millisecond
+	// deliveryTime is left at the end of a stop for the last part of an answer to reach its
+	// caller.
+	deliveryTime = 100 * time.Millisecond
 	// stopMargin is the part of the grace period left unused before the platform
 	// kills the process.
 	stopMargin = 700 * time.Millisecond
