Sidecars find entries whose addresses the settings did not name

Cause: the addresses of entries came from the settings of the start and from a plan only, which a sidecar gets from an entry. Evidence: sidecars log nothing after their start, a reload logs the change and goes on as before. Ruled out: entries that don't know the engines; they subscribe to their load at once.

Sidecars ask the entries that have subscribed too, and the seeds of both roles follow the settings file, with SIGHUP or without. pkg/rotator tries each address once before one that has failed.

--- a/cmd/flamingoledge-node/cmds/cmds.go
+++ b/cmd/flamingoledge-node/cmds/cmds.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"reflect"
 	"runtime/debug"
 	"syscall"
 
@@ -22,7 +21,6 @@
 	"flamingoledge.org/flamingoledge/internal/gatewayserver"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/monitor"
-	"flamingoledge.org/flamingoledge/internal/reloader"
 )
 
 // Exit codes of the program.
@@ -144,12 +142,13 @@
 	debug.SetGCPercent(gcPercents[role])
 	metrics := new(expvar.Map).Init()
 	var s server
-	if s, err = newServer(role, n, log, metrics); err != nil {
+	seeds := configurator.NewSeedList(n.Seeds)
+	if s, err = newServer(role, n, seeds, log, metrics); err != nil {
 		return err
 	}
 	background, stop := context.WithCancel(ctx)
 	defer stop()
-	go watchReload(background, file, role, n, log)
+	go (&reload{file: file, role: role, inUse: n, seeds: seeds, log: log}).watch(background)
 	if n.MetricsPort > 0 {
 		go func() {
 			if serveErr := monitor.ServeText(background, fmt.Sprintf("%s:%d", n.Address, n.MetricsPort), metrics, pagesOf(s)); serveErr != nil {
@@ -185,39 +184,9 @@
 	return n, nil
 }
 
-func newServer(role string, n *configurator.Node, log *zap.Logger, metrics *expvar.Map) (server, error) {
+func newServer(role string, n *configurator.Node, seeds *configurator.SeedList, log *zap.Logger, metrics *expvar.Map) (server, error) {
 	if role == "entry" {
-		return gatewayserver.New(gatewayserver.Config{Settings: n, Clock: bootclock.Now, Logger: log, Metrics: metrics})
+		return gatewayserver.New(gatewayserver.Config{Settings: n, Seeds: seeds, Clock: bootclock.Now, Logger: log, Metrics: metrics})
 	}
-	return agentserver.New(agentserver.Config{Settings: n, Clock: bootclock.Now, Logger: log, Metrics: metrics})
-}
-
-// watchReload reads the settings file again on SIGHUP and logs which settings differ from
-// those in use. The differences take effect after a restart. If the file is invalid, it
-// logs the error.
-func watchReload(ctx context.Context, file, role string, n *configurator.Node, log *zap.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-reloader.Signals():
-			reloaded, err := load(file, role)
-			if err != nil {
-				logger.Log(log, logger.SettingsRefused, zap.Error(err))
-				continue
-			}
-			logger.Log(log, logger.SettingsReloaded, zap.Strings("changed", changedFields(n, reloaded)))
-		}
-	}
-}
-
-// changedFields returns the names of the settings that differ.
-func changedFields(a, b *configurator.Node) (names []string) {
-	va, vb := reflect.ValueOf(*a), reflect.ValueOf(*b)
-	for i := range va.NumField() {
-		if !reflect.DeepEqual(va.Field(i).Interface(), vb.Field(i).Interface()) {
-			names = append(names, va.Type().Field(i).Tag.Get("json"))
-		}
-	}
-	return names
+	return agentserver.New(agentserver.Config{Settings: n, Seeds: seeds, Clock: bootclock.Now, Logger: log, Metrics: metrics})
 }
--- a/internal/agentserver/load.go
+++ b/internal/agentserver/load.go
@@ -60,6 +60,18 @@
 	r.interval, r.expiresAt = interval, now.Add(subscriptionTimeout)
 }
 
+// addresses returns the entries with a subscription.
+func (rs *receivers) addresses(now time.Time) (addresses []string) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	for address, r := range rs.byAddress {
+		if now.Before(r.expiresAt) {
+			addresses = append(addresses, address.String())
+		}
+	}
+	return addresses
+}
+
 // due returns the receivers to which l is to be reported now, and the number of all
 // receivers. It records the report.
 func (rs *receivers) due(now time.Time, l *messenger.LoadReport) (due []netip.AddrPort, total int) {
--- a/internal/agentserver/server.go
+++ b/internal/agentserver/server.go
@@ -34,15 +34,18 @@
 	"flamingoledge.org/flamingoledge/pkg/gauger"
 	"flamingoledge.org/flamingoledge/pkg/pacer"
 	"flamingoledge.org/flamingoledge/pkg/planner"
+	"flamingoledge.org/flamingoledge/pkg/rotator"
 	"flamingoledge.org/flamingoledge/platform"
 )
 
 // Config configures a Server.
 type Config struct {
 	Settings *configurator.Node
-	Clock    func() time.Time
-	Logger   *zap.Logger
-	Metrics  *expvar.Map
+	// Seeds are the seeds as the settings name them now; nil for those of Settings.
+	Seeds   *configurator.SeedList
+	Clock   func() time.Time
+	Logger  *zap.Logger
+	Metrics *expvar.Map
 }
 
 const (
@@ -94,6 +97,9 @@
 
 	// entries are the addresses of the entries in the latest plan.
 	entries atomic.Pointer[[]string]
+	// planFailures are the entries that did not answer a request for the plan. Only pollPlan uses
+	// it.
+	planFailures rotator.Failures
 	// receivers are the entries to which the load is reported.
 	receivers receivers
 	// linkGauge measures the delay of what is sent to this instance by the chunks that it
@@ -114,6 +120,9 @@
 // New returns a Server that listens on its UDP socket; Run starts it.
 func New(cfg Config) (s *Server, err error) {
 	n := cfg.Settings
+	if cfg.Seeds == nil {
+		cfg.Seeds = configurator.NewSeedList(n.Seeds)
+	}
 	s = &Server{
 		cfg:          cfg,
 		self:         net.JoinHostPort(n.Address, strconv.Itoa(n.NodePort)),
@@ -259,11 +268,13 @@
 		}
 		p, err := s.requestPlan(ctx, address, knownDigest)
 		if err != nil || !p.GetKnown() {
+			s.planFailures = s.planFailures.With(s.cfg.Clock(), address)
 			address = ""
 			d := planRetry(s.cfg.Clock().Sub(startedAt))
 			sleeper.Sleep(ctx, d+time.Duration(rand.Int64N(int64(d))))
 			continue
 		}
+		s.planFailures = s.planFailures.Without(address)
 		if p.GetDigest() == knownDigest {
 			continue
 		}
@@ -287,19 +298,25 @@
 	return planRetryDelay
 }
 
-// chooseEntry returns the address of a random entry or seed, or "" if there is none.
+// chooseEntry returns the address of the entry to ask for the plan, or "" if none is known.
 func (s *Server) chooseEntry() string {
-	var candidates []string
-	for _, seed := range s.cfg.Settings.Seeds {
+	candidates := s.knownEntries()
+	s.planFailures = s.planFailures.Among(candidates)
+	return s.planFailures.Next(candidates, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
+
+// knownEntries returns the addresses of the seeds, of the entries in the latest plan and of those
+// that have subscribed to the load. The seeds may all be gone, and only entries that run subscribe.
+func (s *Server) knownEntries() (addresses []string) {
+	for _, seed := range s.cfg.Seeds.Get() {
 		if ap, err := netip.ParseAddrPort(seed); err == nil {
-			candidates = append(candidates, netip.AddrPortFrom(ap.Addr(), uint16(s.cfg.Settings.NodePort)).String())
+			addresses = append(addresses, netip.AddrPortFrom(ap.Addr(), uint16(s.cfg.Settings.NodePort)).String())
 		}
 	}
-	candidates = append(candidates, *s.entries.Load()...)
-	if len(candidates) == 0 {
-		return ""
-	}
-	return candidates[rand.IntN(len(candidates))]
+	addresses = append(addresses, *s.entries.Load()...)
+	addresses = append(addresses, s.receivers.addresses(s.cfg.Clock())...)
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
 }
 
 // dialPlan connects to an entry.
--- a/internal/gatewayserver/evidence.go
+++ b/internal/gatewayserver/evidence.go
@@ -26,7 +26,7 @@
 // same, so that it reaches all entries within a few steps. What is lost on the way is sent
 // again when entries compare their evidence.
 func (s *Server) spreadEvidence(ctx context.Context) {
-	if !slices.ContainsFunc(s.cfg.Settings.Seeds, s.isOtherEntry) {
+	if !slices.ContainsFunc(s.cfg.Seeds.Get(), s.isOtherEntry) {
 		s.crashLedger.markInformed()
 	}
 	informed := time.AfterFunc(initialEvidenceWait, s.crashLedger.markInformed)
--- a/internal/gatewayserver/presence.go
+++ b/internal/gatewayserver/presence.go
@@ -47,7 +47,7 @@
 			targets = append(targets, ap)
 		}
 	}
-	for _, seed := range s.cfg.Settings.Seeds {
+	for _, seed := range s.cfg.Seeds.Get() {
 		ap, err := netip.ParseAddrPort(seed)
 		if err != nil {
 			continue
--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -40,6 +40,8 @@
 // Config configures a Server.
 type Config struct {
 	Settings *configurator.Node
+	// Seeds are the seeds as the settings name them now; nil for those of Settings.
+	Seeds *configurator.SeedList
 	// Clock returns the current time, which ages and timeouts are computed with.
 	Clock   func() time.Time
 	Logger  *zap.Logger
@@ -134,6 +136,9 @@
 // New returns a Server that listens for datagrams. Run starts it.
 func New(cfg Config) (s *Server, err error) {
 	n := cfg.Settings
+	if cfg.Seeds == nil {
+		cfg.Seeds = configurator.NewSeedList(n.Seeds)
+	}
 	s = &Server{cfg: cfg, self: net.JoinHostPort(n.Address, strconv.Itoa(n.NodePort)), endpointsDirty: make(chan struct{}, 1)}
 	s.crashLedger = newCrashLedger(cfg.Clock, cfg.Logger, s.trialRank)
 	s.peerConns.Dialer = &connector.Dialer{}
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -21,7 +21,7 @@
 	LinesDropped = register(1006, "lines_dropped", zapcore.WarnLevel,
 		"Log lines were dropped to limit the volume. The fields count them by event; `unread` counts those that the reader of the log did not read in time.")
 	SettingsReloaded = register(1007, "settings_reloaded", zapcore.InfoLevel,
-		"The settings file was read again after SIGHUP and is valid. `changed` lists the settings that differ from those in use; they take effect after a restart.")
+		"The settings file was read again, after SIGHUP or because it had changed, and is valid. `changed` lists the settings that differ from those in use. `seeds` take effect at once, the others after a restart.")
 	MetricsUnserved = register(1009, "metrics_unserved", zapcore.WarnLevel,
 		"The metrics can't be served on their address. The process continues without them.")
 	ProcessPaused = register(1010, "process_paused", zapcore.WarnLevel,
