--- a/internal/gatewayserver/endpoints.go
+++ b/internal/gatewayserver/endpoints.go
@@ -205,17 +205,31 @@
 	return q
 }
 
-// withHeldVersions records the newest version of each model that endpoints have
-// loaded. It is the wanted version of a model for which operators have named none.
+// withHeldVersions records the version of each model that most endpoints have loaded, the newest
+// of several. It is the wanted version of a model for which operators have named none, so that a
+// single record with a version that does not exist must not decide.
 func (l list) withHeldVersions(now time.Time) list {
+	holders := map[modelVersion]int{}
 	for _, e := range l.endpoints.All() {
 		for _, m := range e.LoadedModels {
-			if m.Version > l.held[m.Model].Version {
-				l.held = cloneMap(l.held)
-				l.held[m.Model] = forwarder.Version{Version: m.Version, KnownSince: now}
+			if m.Version > 0 {
+				holders[modelVersion{model: m.Model, version: m.Version}]++
 			}
 		}
 	}
+	most := map[string]modelVersion{}
+	for v, n := range holders {
+		best, ok := most[v.model]
+		if !ok || n > holders[best] || n == holders[best] && v.version > best.version {
+			most[v.model] = v
+		}
+	}
+	for model, v := range most {
+		if l.held[model].Version != v.version {
+			l.held = cloneMap(l.held)
+			l.held[model] = forwarder.Version{Version: v.version, KnownSince: now}
+		}
+	}
 	return l
 }
 
@@ -261,6 +275,9 @@
 			Evacuated: s.config.evacuations.IsEvacuated(e.AvailabilityZone), ColdUntil: s.coldUntil(service, e), Slots: e.Slots, Ready: !e.Draining, Born: e.Born,
 		}
 		if service.Engine != nil {
+			if service.Engine.Slots > 0 {
+				b.Slots = min(b.Slots, service.Engine.Slots)
+			}
 			var switching bool
 			b.Version, switching = s.loadedVersion(now, e)
 			b.Ready = b.Ready && b.Version != 0 && !switching
--- a/internal/gatewayserver/state.go
+++ b/internal/gatewayserver/state.go
@@ -72,7 +72,7 @@
 	confirmedAt time.Time
 	// cold is how cold the endpoints are, by ID.
 	cold map[string]coldness
-	// held is the newest version that endpoints have loaded, by model. Its KnownSince
+	// held is the version that most endpoints have loaded, by model. Its KnownSince
 	// is the time at which this process first saw it.
 	held map[string]forwarder.Version
 }
