--- a/cmd/flamingoledge-node/cmds/reload_test.go
+++ b/cmd/flamingoledge-node/cmds/reload_test.go
@@ -64,7 +64,9 @@
 			if tc.sendSignal {
 				is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
 			}
-			for deadline := time.Now().Add(2 * settingsInterval); time.Now().Before(deadline) && !slices.Equal(seeds.Get(), []string{renewed}); time.Sleep(10 * time.Millisecond) {
+			deadline := time.Now().Add(2 * settingsInterval)
+			for time.Now().Before(deadline) && !slices.Equal(seeds.Get(), []string{renewed}) {
+				time.Sleep(10 * time.Millisecond)
 			}
 			is.Equal(seeds.Get(), []string{tc.want})
 		})
--- a/internal/forwarder/acquire.go
+++ b/internal/forwarder/acquire.go
@@ -65,15 +65,20 @@
 		// The endpoint's version has become too old or its zone was evacuated, also if that
 		// was while the check waited for probes.
 	}
+	return d, f.refuse(c, dp, r, d)
+}
+
+// refuse returns the problem of a call that the balancer refused.
+func (f *Forwarder) refuse(c *call, dp *dispatcher, r balancer.Request, d balancer.Decision) *Problem {
 	if d.Evacuated > 0 {
 		f.recordRefusedByEvacuation()
 	}
 	if c.unknownOutcome != nil {
-		return d, f.unknownOutcome(c)
+		return f.unknownOutcome(c)
 	}
 	if p := f.checkStop(c, f.cfg.Clock()); p != nil {
 		f.recordAdmission(c, dp, r, d, retryTime{delay: p.RetryAfter})
-		return d, p
+		return p
 	}
 	code := CodeBusy
 	if d.Outcome == balancer.OutcomeNoEndpoint {
@@ -81,7 +86,7 @@
 	}
 	told := f.retryAfter(c, dp, d)
 	f.recordAdmission(c, dp, r, d, told)
-	return d, notRun(code, told.delay, "%s, %d waiting, waited %d ms, first sent %d ms before, %d endpoints accept none now, %d are in evacuated zones", refusalReason(d), d.Waiting, c.waitTime.Milliseconds(), c.receivedAt.Sub(c.firstSentAt).Milliseconds(), d.Declining, d.Evacuated)
+	return notRun(code, told.delay, "%s, %d waiting, waited %d ms, first sent %d ms before, %d endpoints accept none now, %d are in evacuated zones", refusalReason(d), d.Waiting, c.waitTime.Milliseconds(), c.receivedAt.Sub(c.firstSentAt).Milliseconds(), d.Declining, d.Evacuated)
 }
 
 // orUnknownOutcome returns why another attempt of a call is not allowed, unless an earlier one may
