--- a/internal/forwarder/stop.go
+++ b/internal/forwarder/stop.go
@@ -46,7 +46,9 @@
 func (f *Forwarder) expectedTime(c *call) time.Duration {
 	switch {
 	case c.engine != nil:
-		return slotTime(c, max(c.answerTokens(), c.MaxAnswerTokens))
+		// Each event that a resumed stream has delivered holds the tokens of a pass.
+		tokens := max(c.answerTokens(), c.MaxAnswerTokens) - c.deliveredEvents*c.engine.Stride
+		return slotTime(c, max(tokens, 1))
 	case c.isStream():
 		return 0
 	default:
