--- a/cmd/flamingoledge-node/cmds/reload_test.go
+++ b/cmd/flamingoledge-node/cmds/reload_test.go
@@ -25,10 +25,10 @@
 		content string
 		want    string
 	}{
-		"with a signal":     {sendSignal: true, want: renewed},
-		"without a signal":  {want: renewed},
-		"invalid settings":  {sendSignal: true, content: "{", want: old},
-		"settings are gone": {sendSignal: true, content: " ", want: old},
+		"with a signal":    {sendSignal: true, want: renewed},
+		"without a signal": {want: renewed},
+		"invalid settings": {sendSignal: true, content: "{", want: old},
+		"empty settings":   {sendSignal: true, content: " ", want: old},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -54,6 +54,8 @@
 				defer close(done)
 				r.watch(t.Context())
 			}()
+			// Signals have one receiver only, so that it must not outlive its case.
+			t.Cleanup(func() { <-done })
 			time.Sleep(100 * time.Millisecond) // until the first content has been read
 			n.Seeds = []string{renewed}
 			content := encode()
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -27,7 +27,7 @@
 	ProcessPaused = register(1010, "process_paused", zapcore.WarnLevel,
 		"The process did not run for some time, given in `pause`: its instance was suspended or had no processor time. Calls to it were not answered meanwhile, and what arrived is handled now.")
 	SettingsRefused = register(1008, "settings_refused", zapcore.ErrorLevel,
-		"The settings file was read again after SIGHUP and is invalid. The process continues with the settings in use, but would not start with this file.")
+		"The settings file was read again, after SIGHUP or because it had changed, and is invalid. The process continues with the settings in use, but would not start with this file.")
 )
 
 // Events about TLS keys and the audit log.
