--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -25,6 +26,8 @@
 	entry  int
 	what   string
 	prompt string
+	// key is the API key; that of all requests if empty.
+	key string
 }
 
 type reply struct {
@@ -73,7 +76,7 @@
 	}
 	req.Host, req.Close = host, true
 	for k, v := range map[string]string{
-		"X-Request-Id": out.id, "X-Deadline-Ms": fmt.Sprint(callTimeout.Milliseconds()), "X-Model": model, "X-Api-Key": key,
+		"X-Request-Id": out.id, "X-Deadline-Ms": fmt.Sprint(callTimeout.Milliseconds()), "X-Model": model, "X-Api-Key": cmp.Or(r.key, key),
 		"X-Token-Counts": fmt.Sprintf("%d,%d", promptTokens, answerTokens), "X-Prompt-Prefix": r.prompt,
 	} {
 		req.Header.Set(k, v)
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -29,6 +30,7 @@
 	zone       = "z"
 	host       = "h.example"
 	key        = "key-1"
+	revokedKey = "key-2"
 	model      = "m"
 	engineName = "llm"
 	chunks     = 96
@@ -64,6 +66,10 @@
 	// weights and origin serve two versions.
 	weights *standin.Weights
 	origin  *origin
+	// storeAddress is where processes reach the store; empty for the store itself.
+	storeAddress string
+	// keys are the API keys in the configuration.
+	keys []string
 
 	mu        sync.Mutex
 	processes map[string]*process
@@ -72,7 +78,7 @@
 func newFleet(dir string, rec *recorder) (*fleet, error) {
 	f := &fleet{
 		dir: dir, rec: rec, net: 16 + os.Getpid()%200, store: standin.NewStore(),
-		weights: standin.NewWeights(model, chunks, chunkBytes, 1, 2), processes: map[string]*process{},
+		weights: standin.NewWeights(model, chunks, chunkBytes, 1, 2), processes: map[string]*process{}, keys: []string{key},
 	}
 	var err error
 	if f.port, err = freePorts(); err != nil {
@@ -123,7 +129,7 @@
 			map[string]any{"name": "weights", "origin": f.origin.address(), "zone": zone, "link_mbps": 7.3, "max_conns": 48},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16_384, "max_body_bytes": 4_194_304, "header_timeout_ms": 3000, "idle_timeout_ms": 15_000},
-		"tenants": []any{map[string]any{"name": "w", "api_keys": []string{key}, "priority": 1}},
+		"tenants": []any{map[string]any{"name": "w", "api_keys": f.keys, "priority": 1}},
 	})
 }
 
@@ -134,7 +140,7 @@
 		"regions":  map[string]string{zone: "r"},
 		"address":  ip, "node_port": f.port, "metrics_port": 0,
 		"seeds": []string{f.ip(1, 0) + ":1", f.ip(1, 1) + ":1", f.ip(1, 2) + ":1"},
-		"store": f.store.AddressOf(ip), "link_mbps": 1000.0, "memory_mb": 284, "log_level": "info",
+		"store": cmp.Or(f.storeAddress, f.store.AddressOf(ip)), "link_mbps": 1000.0, "memory_mb": 284, "log_level": "info",
 		"weights": map[string]any{"partitions": 24, "record_bytes": 262_144, "call_bytes": 2_097_152, "max_kept_mb": 64},
 		"bounds": map[string]any{
 			"drain_ms": 2000, "grace_s": 8, "configuration_ms": 2000, "revocation_ms": 5000, "revocation_strict": true, "version_ms": versionTime.Milliseconds(),
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 )
 
@@ -26,12 +27,18 @@
 	"manifest": runManifest,
 	"restart":  runRestart,
 	"group":    runGroup,
+	"resume":   runResume,
+	"era":      runEra,
 	"bodies":   runBodies,
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
+	if len(os.Args) == 3 && os.Args[1] == "runner" {
+		id, address, _ := strings.Cut(os.Args[2], "=")
+		return serveRunner(id, address)
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-2 CASE FOLDER")
 		return exitNotRun
--- a/review/rig2/parts.go
+++ b/review/rig2/parts.go
@@ -19,7 +19,7 @@
 	// part of the prompt with the others.
 	soundPerSecond = 10
 	// fewSoundPerSecond is their rate in a quiet hour, in which most engines are idle.
-	fewSoundPerSecond = 3
+	fewSoundPerSecond = 2
 	// maxPartRequests is the number of requests of the rule BUDGET, and crashesBefore the number
 	// of crashes after which they count.
 	maxPartRequests, crashesBefore = 3, 5
@@ -134,11 +134,11 @@
 	return counted > maxPartRequests
 }
 
-// runGroup sends requests with a part that crashes engines in groups of five, on a route whose
+// runGroup sends requests with a part that crashes engines in groups of six, on a route whose
 // streams may not be resumed, so that no request is repeated.
 func runGroup(f *fleet, hasTrouble bool) (bool, error) {
 	f.configure(2, false)
-	const groups, perGroup = 5, 5
+	const groups, perGroup = 5, 6
 	return runParts(f, hasTrouble, fewSoundPerSecond, func(p *partFleet) error {
 		for range groups {
 			p.sendGroup(perGroup)
