--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -6,4 +6,4 @@
   echo "not run: build the deployment and review/build-2.sh first" >&2
   exit 2
 fi
-exec target/review-2 restart review/7
+exec target/review-2 restart review/9
