--- a/cmd/flamingoledge/processes_test.go
+++ b/cmd/flamingoledge/processes_test.go
@@ -53,6 +53,8 @@
 	procs    map[string]*exec.Cmd
 	// emulators maps the name of each endpoint to the address of its emulator.
 	emulators map[string]string
+	// entryLimits are further settings of entries that are started.
+	entryLimits string
 }
 
 // freeAddress returns a loopback address that stays reserved until the test ends. It
@@ -122,8 +124,8 @@
 	c.entries = append(c.entries, http)
 	c.start(name, []string{"entry"}, fmt.Sprintf(`{
 		"instance": {"name": %q, "availability_zone": "a-1", "region": "a"},
-		"platform": %q, "listen_address": "127.0.0.1:0", "http_address": %q,
-	}`, name, platform, http))
+		"platform": %q, "listen_address": "127.0.0.1:0", "http_address": %q, %s
+	}`, name, platform, http, c.entryLimits))
 }
 
 func (c *cluster) endpoint(name, service string) { c.endpointAt(name, service, c.platform) }
--- a/internal/configurator/configurator_test.go
+++ b/internal/configurator/configurator_test.go
@@ -40,6 +40,8 @@
 		"unknown level":       {`"info"`, `"loud"`, 7, "log_level"},
 		"missing field":       {`"http_address": "127.0.0.1:0",`, ``, 1, "http_address"},
 		"negative ratio":      {`"max_waiting": 10`, `"retry_ratio": -1`, 10, "retry_ratio"},
+		"negative memory":     {`"max_waiting": 10`, `"memory_mb": -1`, 10, "memory_mb"},
+		"nested in callers":   {`"max_waiting": 10`, `"callers": {"max_connections": -1}`, 10, "callers.max_connections"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/configurator/node.go
+++ b/internal/configurator/node.go
@@ -36,11 +36,15 @@
 	// LinkMbps is the bandwidth of the instance's link, in Mbit/s.
 	LinkMbps float64 `json:"link_mbps"`
 	// MemoryMB is the memory available to the process, in MB; 0 if unknown.
-	MemoryMB int    `json:"memory_mb"`
-	LogLevel string `json:"log_level"`
-	Bounds   Bounds `json:"bounds"`
+	MemoryMB int `json:"memory_mb"`
+	// MaxDescriptors is the number of descriptors that the process may have open; 0 if unknown.
+	MaxDescriptors int    `json:"max_descriptors"`
+	LogLevel       string `json:"log_level"`
+	Bounds         Bounds `json:"bounds"`
 	// Admission configures which requests are served while there is too little capacity.
 	Admission Admission `json:"admission"`
+	// Callers bounds what the callers of an entry may hold.
+	Callers Callers `json:"callers"`
 	// Weights configures which weights sidecars keep in the store.
 	Weights Weights `json:"weights"`
 }
@@ -199,7 +203,12 @@
 	if err := n.Bounds.check(); err != nil {
 		return err
 	}
-	return firstError(n.Admission.check(), n.Weights.check())
+	return firstError(
+		checkRange("max_descriptors", n.MaxDescriptors, 0, maxDescriptors),
+		n.Callers.check(),
+		n.Admission.check(),
+		n.Weights.check(),
+	)
 }
 
 const maxPort = 65535
--- a/internal/configurator/node_test.go
+++ b/internal/configurator/node_test.go
@@ -33,7 +33,7 @@
 		"platform.parts": "12", "platform.record_bytes": "131072", "platform.call_bytes": "1048576",
 		"node_name|json": `"edge-stred-a-1"`, "zone|json": `"stred-a"`, "region|json": `"stred"`, "zones|json": `{"stred-a":"stred"}`,
 		"ip|json": `"10.1.0.40"`, "port_range.0": "7700", "port_range.1": "7715", "seed_nodes|json": `["10.1.0.40:8000"]`,
-		"platform.address|json": `"10.200.1.7:8007"`, "limits.link_mbps|json": "7.3", "limits.memory_mb|json": "284",
+		"platform.address|json": `"10.200.1.7:8007"`, "limits.link_mbps|json": "7.3", "limits.memory_mb|json": "284", "limits.max_fds|json": "4200",
 		"bounds.drain_ms|json": "2000", "bounds.grace_s|json": "8", "bounds.config_ms|json": "2000", "bounds.revoke_ms|json": "5000",
 		"bounds.revoke_strict|json": "true", "bounds.version_ms|json": "8000", "bounds.retry_ratio|json": "0.2",
 		"bounds.retry_window_s|json": "10", "bounds.retry_extra|json": "104",
@@ -103,6 +103,10 @@
 		"too much kept":               {from: `"max_kept_mb": 64`, to: `"max_kept_mb": 161`, field: "weights.max_kept_mb"},
 		"less than nothing kept":      {from: `"max_kept_mb": 64`, to: `"max_kept_mb": -1`, field: "weights.max_kept_mb"},
 		"negative memory":             {from: `"memory_mb": 284`, to: `"memory_mb": -1`, field: "memory_mb"},
+		"negative descriptors":        {from: `"max_descriptors": 4200`, to: `"max_descriptors": -1`, field: "max_descriptors"},
+		"too little for callers":      {from: `"log_level": "info"`, to: `"callers": {"memory_mb": 31}`, field: "callers.memory_mb"},
+		"negative connections":        {from: `"log_level": "info"`, to: `"callers": {"max_connections": -1}`, field: "callers.max_connections"},
+		"negative stall time":         {from: `"log_level": "info"`, to: `"callers": {"stall_ms": -1}`, field: "callers.stall_ms"},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/configurator/settings.go
+++ b/internal/configurator/settings.go
@@ -50,7 +50,13 @@
 	HTTPAddress string `json:"http_address"`
 	// AdvertiseHTTPAddress is the address at which callers reach HTTPAddress; by
 	// default the same.
-	AdvertiseHTTPAddress   string  `json:"advertise_http_address,omitempty"`
+	AdvertiseHTTPAddress string `json:"advertise_http_address,omitempty"`
+	// MemoryMB is the memory available to the process, in MB, and MaxDescriptors the number of
+	// descriptors that it may have open; 0 if unknown.
+	MemoryMB       int `json:"memory_mb"`
+	MaxDescriptors int `json:"max_descriptors"`
+	// Callers bounds what callers may hold.
+	Callers                Callers `json:"callers"`
 	MaxBodyBytes           int     `json:"max_body_bytes"`
 	MaxWaiting             int     `json:"max_waiting"`
 	Overcommit             float64 `json:"overcommit"`
@@ -163,6 +169,9 @@
 		e.Common.Check(),
 		checkAddress("http_address", e.HTTPAddress, true),
 		checkAddress("advertise_http_address", e.AdvertiseHTTPAddress, false),
+		checkRange("memory_mb", e.MemoryMB, 0, maxCallersMB),
+		checkRange("max_descriptors", e.MaxDescriptors, 0, maxDescriptors),
+		e.Callers.check(),
 		checkRange("max_body_bytes", e.MaxBodyBytes, 1, maxBodyBytes),
 		checkRange("max_waiting", e.MaxWaiting, 1, maxCount),
 		checkFloatRange("overcommit", e.Overcommit, maxOvercommit),
