Keep one account of what callers hold in an entry

What was seen: crowds of callers with large bodies, whole or short of their end, with a length or in chunks, made an entry take 220 to 707 MB of 96 MB, and ended it on a site; 900 connections that were open, silent, half-sent or idle took 915 descriptors of 600. Callers that stopped got no answer after ten seconds, and a body announced over the limit was read up to it.

Cause: nothing bounded what all callers hold together. Each body was read by io.ReadAll, which holds up to 2.25 times what has arrived, at any number of connections, and was copied once more to send it.

Change: pkg/budgeter decides from whom an entry reads on, and internal/receiver, which every connection, head and body of a caller passes, carries it out. Bodies are held in parts as they arrive and are sent from these. When memory is short, callers without progress for half a second give way first, then the youngest of those with more than 16 KB; a part is for small requests only, which never wait. When connections are short, stalled and then idle ones give way. The limits follow from memory and descriptors. Refused requests get 503 no_memory with a time to come back, 408 body_timeout or, by their announced length, 413 at once; all are refused before they can run.

Why it holds: the account counts what the process has allocated, before it allocates it, so no kind of framing or announcement goes round it, and evicted memory is granted again only once it is free.

--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -57,6 +57,9 @@
 	return n, err
 }
 
+// NetConn returns the connection that c wraps.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // beginRequest records that a part of a request has been read. The rest is awaited also if
 // reading was ended meanwhile.
 func (c *conn) beginRequest(isNext bool) {
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -66,7 +66,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body holds the parts of the body in their order.
+	Body [][]byte
 	// NewConn requires a new connection, on which no late response to an earlier
 	// request can arrive.
 	NewConn bool
@@ -260,25 +261,40 @@
 // write sends the request. A large one is written concurrently with reading the
 // response, because the server may respond before it has read the whole request.
 func (resp *Response) write(r Request) error {
+	length := 0
+	for _, part := range r.Body {
+		length += len(part)
+	}
 	var b bytes.Buffer
-	b.Grow(len(r.Body) + 1<<10)
+	b.Grow(min(length, maxSyncWriteBytes) + 1<<10)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if length > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	if b.Len() <= maxSyncWriteBytes {
-		defer close(resp.requestWritten)
-		_, err := resp.conn.Write(b.Bytes())
-		return err
+	if b.Len()+length > maxSyncWriteBytes {
+		go func() {
+			if resp.writeParts(append([][]byte{b.Bytes()}, r.Body...)) == nil {
+				close(resp.requestWritten)
+			}
+		}()
+		return nil
 	}
-	go func() {
-		if _, err := resp.conn.Write(b.Bytes()); err == nil {
-			close(resp.requestWritten)
+	defer close(resp.requestWritten)
+	for _, part := range r.Body {
+		b.Write(part)
+	}
+	_, err := resp.conn.Write(b.Bytes())
+	return err
+}
+
+func (resp *Response) writeParts(parts [][]byte) error {
+	for _, part := range parts {
+		if _, err := resp.conn.Write(part); err != nil {
+			return err
 		}
-	}()
+	}
 	return nil
 }
 
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -76,7 +76,7 @@
 
 func request(address, id string) exchanger.Request {
 	return exchanger.Request{
-		Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("b"),
+		Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: [][]byte{[]byte("b")},
 		MatchesResponse: func(h http.Header) bool { return h.Get("Id") == id },
 	}
 }
@@ -268,7 +268,7 @@
 	}()
 	pool := newPool()
 	r := request(lis.Addr().String(), "a")
-	r.Body = make([]byte, 8<<20)
+	r.Body = [][]byte{make([]byte, 5<<20), make([]byte, 3<<20)}
 	for range 2 {
 		body, err := exchange(t, pool, r)
 		is.NoErr(err)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -125,7 +125,7 @@
 		Target:          c.target,
 		Host:            c.request.Host,
 		Header:          f.cfg.Translator.Headers(c.request.Header, info),
-		Body:            c.body,
+		Body:            c.body.Parts(),
 		NewConn:         !c.route.IsRetryable(),
 		MatchesResponse: func(h http.Header) bool { return f.cfg.Translator.ResponseInfo(0, h).RequestID == c.RequestID },
 		Delivery:        delivery,
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"flamingoledge.org/flamingoledge/internal/drainer"
+	"flamingoledge.org/flamingoledge/internal/receiver"
 	"flamingoledge.org/flamingoledge/pkg/estimator"
 	"flamingoledge.org/flamingoledge/pkg/resolver"
 )
@@ -22,9 +23,11 @@
 
 	request *http.Request
 	target  string
-	body    []byte
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// conn is the connection of the caller; nil if there is no account of it.
+	conn   *receiver.Conn
+	body   *receiver.Body
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	receivedAt time.Time
 	// readAt is when the request had been read completely.
@@ -93,7 +96,7 @@
 func (f *Forwarder) newCall(r *http.Request) *call {
 	return &call{
 		RequestInfo: f.cfg.Translator.RequestInfo(r.Header), request: r, receivedAt: f.cfg.Clock(), target: r.RequestURI,
-		ctx: r.Context(), cancel: func() {}, isFirst: drainer.IsReused(r.Context()),
+		ctx: r.Context(), cancel: func() {}, isFirst: drainer.IsReused(r.Context()), conn: receiver.FromContext(r.Context()),
 	}
 }
 
@@ -181,6 +184,9 @@
 	noConfigRetryAfter = 500 * time.Millisecond
 	// bodyTimeout bounds the time to read a request's body.
 	bodyTimeout = 10 * time.Second
+	// unreadTimeout bounds the time for which the rest of a refused request's body is awaited, so that
+	// the connection can be kept.
+	unreadTimeout = time.Second
 )
 
 // readBody reads the request's body and computes the request's fingerprint. limit is the
@@ -191,25 +197,43 @@
 		maxBytes = int64(limit)
 	}
 	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, c.request.Body, maxBytes))
-	_ = rc.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return &Problem{Status: http.StatusRequestEntityTooLarge, Code: CodeBodyTooLarge, Message: err.Error()}
-	case err != nil:
-		return &Problem{Status: http.StatusBadRequest, Code: CodeBadRequest, Message: err.Error(), CallerDisconnected: true}
+	_ = rc.SetReadDeadline(time.Now().Add(min(bodyTimeout, c.answerDeadline.Sub(c.receivedAt))))
+	var err error
+	if c.body, err = c.conn.ReadBody(c.request.Body, c.request.ContentLength, maxBytes); err != nil {
+		return unreadBody(err)
 	}
-	c.body = body
+	_ = rc.SetReadDeadline(time.Time{})
 	h := xxhash.New()
 	_, _ = h.WriteString(c.Key + "\x00" + c.request.Host + c.target + "\x00")
-	_, _ = h.Write(body)
+	for _, part := range c.body.Parts() {
+		_, _ = h.Write(part)
+	}
 	c.fingerprint = h.Sum64()
 	c.suspects = newSuspects(c)
 	return nil
 }
 
+// unreadBody returns the problem of a request whose body was not read to its end. The connection can't
+// be kept.
+func unreadBody(err error) *Problem {
+	var tooLarge *receiver.TooLargeError
+	var noMemory *receiver.NoMemoryError
+	p := &Problem{Status: http.StatusBadRequest, Code: CodeBadRequest, Message: err.Error(), CallerDisconnected: true}
+	switch {
+	case errors.As(err, &tooLarge):
+		p = &Problem{Status: http.StatusRequestEntityTooLarge, Code: CodeBodyTooLarge, Message: err.Error()}
+	case errors.As(err, &noMemory):
+		p = notRun(CodeNoMemory, noMemory.RetryAfter, "%v", err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		p = &Problem{Status: http.StatusRequestTimeout, Code: CodeBodyTimeout, Message: "the body did not arrive in time"}
+	}
+	p.ClosesConnection = true
+	return p
+}
+
+// releaseBody frees the memory of the body at the end of the call.
+func (c *call) releaseBody() { c.body.Release() }
+
 // isStream reports whether the answer is forwarded event by event.
 func (c *call) isStream() bool { return c.route.Kind == resolver.KindStreaming }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -216,6 +216,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := f.newCall(r)
+	c.conn.BeginRequest()
+	defer c.releaseBody()
 	defer f.recoverHandler(w, c)
 	if p := f.readRequest(w, c); p != nil {
 		f.writeProblem(w, c, p)
--- a/internal/forwarder/problem.go
+++ b/internal/forwarder/problem.go
@@ -20,6 +20,8 @@
 const (
 	CodeBadRequest         Code = "bad_request"
 	CodeBodyTooLarge       Code = "body_too_large"
+	CodeBodyTimeout        Code = "body_timeout"
+	CodeNoMemory           Code = "no_memory"
 	CodeNoRoute            Code = "no_route"
 	CodeUnknownKey         Code = "unknown_key"
 	CodeNoConfiguration    Code = "no_configuration"
@@ -43,6 +45,8 @@
 	RetryAfter time.Duration
 	// CallerDisconnected is set if the caller no longer reads the answer.
 	CallerDisconnected bool
+	// ClosesConnection is set if the rest of the request is not read.
+	ClosesConnection bool
 }
 
 // Error implements error.
@@ -90,9 +94,17 @@
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if p.ClosesConnection {
+		h.Set("Connection", "close")
+	}
 	if p.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(p.RetryAfter.Seconds(), 'f', 2, 64))
 	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if c.body == nil && !p.ClosesConnection {
+		_ = rc.SetReadDeadline(time.Now().Add(unreadTimeout))
+	}
 	w.WriteHeader(p.Status)
 	_, _ = w.Write(body)
 }
--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -30,6 +30,7 @@
 	"flamingoledge.org/flamingoledge/internal/messenger"
 	"flamingoledge.org/flamingoledge/internal/notifier"
 	"flamingoledge.org/flamingoledge/internal/pauselogger"
+	"flamingoledge.org/flamingoledge/internal/receiver"
 	"flamingoledge.org/flamingoledge/internal/sleeper"
 	"flamingoledge.org/flamingoledge/pkg/assigner"
 	"flamingoledge.org/flamingoledge/pkg/controller"
@@ -100,9 +101,12 @@
 type Server struct {
 	cfg Config
 	// self is the node address of this entry.
-	self        string
-	board       *controller.Board[state]
-	forward     *forwarder.Forwarder
+	self    string
+	board   *controller.Board[state]
+	forward *forwarder.Forwarder
+	// callers keeps account of what callers hold. Connections of the load balancer's readiness checks
+	// and of other processes are not counted, as no caller reaches these listeners.
+	callers     *receiver.Receiver
 	pool        *exchanger.Pool
 	socket      *gossiper.Socket
 	peerConns   connector.Pool
@@ -146,6 +150,9 @@
 	if s.socket, err = gossiper.Listen(s.self); err != nil {
 		return nil, err
 	}
+	s.callers = receiver.New(receiver.Config{
+		Limits: callerLimits(n), Copies: bodyCopies, Logger: cfg.Logger, Metrics: cfg.Metrics,
+	})
 	s.board = controller.New(controller.Config[state]{
 		Controllers:  s.controllers(),
 		QueueLength:  controlQueueLength,
@@ -220,7 +227,9 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for nodes")
 	}
-	server := drainer.New(s.newCallersServer(background), callers)
+	callersServer := s.newCallersServer(background)
+	server := drainer.New(callersServer, s.callers.Listener(callers))
+	s.callers.Attach(callersServer)
 	readiness := &http.Server{Handler: http.HandlerFunc(s.handleReady), ReadHeaderTimeout: headerTimeout}
 	var wg sync.WaitGroup
 	serveErrs := make(chan error, 3)
@@ -235,12 +244,14 @@
 	wg.Go(func() { s.listFollower().run(background) })
 	wg.Go(func() { s.pruneConns(background) })
 	wg.Go(func() { s.updateGauges(background) })
+	wg.Go(func() { s.callers.Run(background) })
 	wg.Go(func() { s.dispatchWaiting(background) })
 	wg.Go(func() { pauselogger.Run(background, s.cfg.Clock, s.cfg.Logger) })
 	wg.Go(func() { serveErrs <- connector.Serve(background, nodes, nil, s.newMux()) })
 	wg.Go(func() { serveErrs <- readiness.Serve(ready) })
 	wg.Go(func() { serveErrs <- server.Serve() })
-	logger.Log(s.cfg.Logger, logger.ProcessStarted, zap.String("address", s.self), zap.String("callers_address", n.CallersAddress))
+	logger.Log(s.cfg.Logger, logger.ProcessStarted, zap.String("address", s.self), zap.String("callers_address", n.CallersAddress),
+		zap.Int64("callers_memory_bytes", callerLimits(n).MemoryBytes), zap.Int("callers_connections", callerLimits(n).MaxConns))
 	select {
 	case <-ctx.Done():
 		s.drain(server)
@@ -266,6 +277,16 @@
 	}
 }
 
+// bodyCopies is how often the process holds the body of a request.
+const bodyCopies = 1
+
+// callerLimits returns what the callers of an entry may hold.
+func callerLimits(n *configurator.Node) receiver.Limits {
+	return receiver.NewLimits(n.Callers, receiver.Process{
+		MemoryMB: n.MemoryMB, MaxDescriptors: n.MaxDescriptors, MaxBodyBytes: maxBodyBytes, Copies: bodyCopies,
+	})
+}
+
 // dispatchWaiting periodically makes the forwarder retry to dispatch the requests that
 // wait for the end of an endpoint's pause.
 func (s *Server) dispatchWaiting(ctx context.Context) {
