Close connections that callers may no longer use

Cause: an idle connection was kept for 60 s. idle_timeout_ms of the configuration, 15 s there, was decoded and not used, and callers use a connection for four fifths of it at most.

Change: an entry closes connections that have been idle for longer than idle_timeout_ms, within a second.

--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -151,7 +151,7 @@
 		return nil, err
 	}
 	s.callers = receiver.New(receiver.Config{
-		Limits: callerLimits(n), Copies: bodyCopies, Logger: cfg.Logger, Metrics: cfg.Metrics,
+		Limits: callerLimits(n), Copies: bodyCopies, IdleTime: s.idleTime, Logger: cfg.Logger, Metrics: cfg.Metrics,
 	})
 	s.board = controller.New(controller.Config[state]{
 		Controllers:  s.controllers(),
@@ -287,6 +287,16 @@
 	})
 }
 
+// idleTime returns for how long callers may leave a connection idle by the configuration; 0 if none
+// is known.
+func (s *Server) idleTime() time.Duration {
+	table := s.board.View().config.table
+	if table == nil {
+		return 0
+	}
+	return table.Configuration().Limits.IdleTimeout
+}
+
 // dispatchWaiting periodically makes the forwarder retry to dispatch the requests that
 // wait for the end of an endpoint's pause.
 func (s *Server) dispatchWaiting(ctx context.Context) {
