Pass callers of the own interface through the same account

Heads and bodies that stopped kept their connection for good.

Cause: fasthttp read each body whole, and forms into memory as well, before the handler could decide anything; there was no time-out for reading.

Change: fasthttp leaves bodies to the handler, which reads them by internal/receiver, and connections pass its listener. A body counts three times, as it is joined and copied into the message to the sidecar. Heads have 10 s, bodies as long or the caller's deadline, then 408. A body that is announced over the limit is refused before any of it is read, as it was; fasthttp's streaming would await its first part, so it is held back like one that waits for "100 Continue". An entry that knows its memory sets it as the soft limit of the runtime.

--- a/cmd/flamingoledge/cmds/roles.go
+++ b/cmd/flamingoledge/cmds/roles.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"expvar"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -48,6 +49,10 @@
 	}
 }
 
+// memoryLimitFraction is the fraction of the available memory that is set as the soft limit of the Go
+// runtime, above which the garbage collector runs more often. The rest is for kernel buffers and stacks.
+const memoryLimitFraction = 0.6
+
 func defaultCommon() configurator.Common {
 	return configurator.Common{LogLevel: "info", DrainTimeoutMillis: int(entryserver.DefaultDrainTimeout.Milliseconds())}
 }
@@ -147,6 +152,9 @@
 	if err != nil {
 		return err
 	}
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryMB) * (1 << 20)))
+	}
 	retries := entryserver.DefaultRetryConfig()
 	retries.Ratio = settings.RetryRatio
 	s, err := entryserver.New(entryserver.Config{
@@ -163,6 +171,9 @@
 		ServerTLS:         p.serverTLS,
 		Logger:            p.logger,
 		MaxBodyBytes:      settings.MaxBodyBytes,
+		Callers:           settings.Callers,
+		MemoryMB:          settings.MemoryMB,
+		MaxDescriptors:    settings.MaxDescriptors,
 		DrainTimeout:      millis(settings.DrainTimeoutMillis),
 		ListInterval:      announcer.DefaultInterval,
 		HeartbeatTimeout:  millis(settings.HeartbeatTimeoutMillis),
--- a/internal/entryserver/call.go
+++ b/internal/entryserver/call.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -12,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"flamingoledge.org/flamingoledge/internal/logger"
+	"flamingoledge.org/flamingoledge/internal/receiver"
 	"flamingoledge.org/flamingoledge/pkg/interpreter"
 	"flamingoledge.org/flamingoledge/pkg/quarantiner"
 	"flamingoledge.org/flamingoledge/pkg/router"
@@ -40,6 +43,8 @@
 	// affinityPrefixBytes is the length of the body prefix that determines the
 	// affinity of a call.
 	affinityPrefixBytes = 256
+	// bodyTimeout bounds the time to read a request's body.
+	bodyTimeout = 10 * time.Second
 )
 
 // call is the state of one request.
@@ -73,8 +78,7 @@
 	framesSent int
 }
 
-// parse validates a request and resolves its target. The body is copied, because the
-// HTTP server reuses its buffer.
+// parse validates a request, resolves its target and reads its body.
 func (s *Server) parse(ctx *fasthttp.RequestCtx, now time.Time) (*call, *Problem) {
 	h := &ctx.Request.Header
 	c := &call{
@@ -82,7 +86,6 @@
 		workspace:      string(h.Peek(HeaderWorkspace)),
 		service:        strings.TrimPrefix(string(ctx.Path()), PathServices),
 		idempotencyKey: string(h.Peek(HeaderIdempotencyKey)),
-		body:           bytes.Clone(ctx.PostBody()),
 		arrivedAt:      now,
 	}
 	if c.requestID == "" {
@@ -106,16 +109,52 @@
 	if c.target, err = v.configuration.Config.Resolve(c.workspace, c.service); err != nil {
 		return c, resolveProblem(err)
 	}
-	c.version = s.chooseVersion(v, c)
-	if p := s.checkQuarantine(c); p != nil {
+	if p := c.readDeadline(h, now); p != nil {
 		return c, p
 	}
-	if p := c.readDeadline(h, now); p != nil {
+	if p := s.readBody(ctx, c); p != nil {
+		return c, p
+	}
+	c.version = s.chooseVersion(v, c)
+	if p := s.checkQuarantine(c); p != nil {
 		return c, p
 	}
 	return c, c.checkKey()
 }
 
+// readBody reads the body of a request, which is held until the answer has been sent.
+func (s *Server) readBody(ctx *fasthttp.RequestCtx, c *call) *Problem {
+	_ = ctx.SetReadDeadline(time.Now().Add(min(bodyTimeout, c.deadline.Sub(c.arrivedAt))))
+	src := ctx.RequestBodyStream()
+	if src == nil {
+		src = bytes.NewReader(ctx.PostBody())
+	}
+	b, err := receiver.ConnOf(ctx.Conn()).ReadBody(src, int64(ctx.Request.Header.ContentLength()), int64(s.cfg.MaxBodyBytes))
+	if err != nil {
+		return unreadBody(err)
+	}
+	c.body = b.Bytes()
+	return nil
+}
+
+// unreadBody returns the problem of a request whose body was not read to its end.
+func unreadBody(err error) *Problem {
+	var tooLarge *receiver.TooLargeError
+	var noMemory *receiver.NoMemoryError
+	var timeout net.Error
+	p := badRequest(CodeBadRequest, "%v", err)
+	switch {
+	case errors.As(err, &tooLarge):
+		p = notRun(fasthttp.StatusRequestEntityTooLarge, CodeBodyTooLarge, 0, "%v", err)
+	case errors.As(err, &noMemory):
+		p = notRun(fasthttp.StatusServiceUnavailable, CodeNoMemory, noMemory.RetryAfter, "%v", err)
+	case errors.As(err, &timeout) && timeout.Timeout():
+		p = notRun(fasthttp.StatusRequestTimeout, CodeBodyTimeout, 0, "the request did not arrive in time")
+	}
+	p.ClosesConnection = true
+	return p
+}
+
 // checkQuarantine refuses a call that is convicted of crashing endpoints, and isolates
 // one that is suspected of it.
 func (s *Server) checkQuarantine(c *call) *Problem {
--- a/internal/entryserver/config.go
+++ b/internal/entryserver/config.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"flamingoledge.org/flamingoledge/internal/configurator"
 	"flamingoledge.org/flamingoledge/internal/connector"
 	"flamingoledge.org/flamingoledge/pkg/provider"
 	"flamingoledge.org/flamingoledge/pkg/retrier"
@@ -38,6 +39,10 @@
 	Logger    *zap.Logger
 
 	MaxBodyBytes int
+	// Callers bounds what callers may hold. What it leaves open follows from MemoryMB and
+	// MaxDescriptors, the memory of the process in MB and the number of its descriptors; 0 if unknown.
+	Callers                  configurator.Callers
+	MemoryMB, MaxDescriptors int
 	// DrainTimeout limits how long a stopping entry waits for running requests.
 	DrainTimeout time.Duration
 	// ListInterval is the interval at which the platform's instance list is read.
@@ -72,6 +77,10 @@
 	DefaultTrafficGoroutines = 10_000
 )
 
+// bodyCopies is how often an entry holds the body of a request: in parts while it is read, in one piece,
+// and in the message to the sidecar.
+const bodyCopies = 3
+
 // DefaultRoutingConfig returns the default routing policy of an entry in a region.
 func DefaultRoutingConfig(region string) router.Config {
 	return router.Config{Region: region, AffinityBound: 0.8, RegionPenalty: 0.05, SlowStart: 5 * time.Second}
--- a/internal/entryserver/handler.go
+++ b/internal/entryserver/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"strings"
 	"time"
@@ -38,13 +37,10 @@
 	}
 }
 
-// handleProtocolError responds to requests that could not be parsed as HTTP.
+// handleProtocolError responds to requests that could not be parsed as HTTP, or whose head and the first
+// part of the body did not arrive.
 func (s *Server) handleProtocolError(ctx *fasthttp.RequestCtx, err error) {
-	p := badRequest(CodeBadRequest, "%v", err)
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		p = notRun(fasthttp.StatusRequestEntityTooLarge, CodeBodyTooLarge, 0, "the body has more than %d bytes", s.cfg.MaxBodyBytes)
-	}
-	s.refuse(ctx, &call{}, p)
+	s.refuse(ctx, &call{}, unreadBody(err))
 }
 
 func (s *Server) handleHealth(ctx *fasthttp.RequestCtx) {
--- a/internal/entryserver/problem.go
+++ b/internal/entryserver/problem.go
@@ -38,6 +38,8 @@
 	CodeUnknownService   Code = "unknown_service"
 	CodeUnreadableRecord Code = "unreadable_record"
 	CodeBodyTooLarge     Code = "body_too_large"
+	CodeBodyTimeout      Code = "body_timeout"
+	CodeNoMemory         Code = "no_memory"
 	CodeKeyMissing       Code = "key_missing"
 	CodeKeyRefused       Code = "key_refused"
 	CodeKeyReused        Code = "key_reused"
@@ -62,6 +64,8 @@
 	// RetryAfter is the time after which the caller should retry; 0 means that it
 	// should not.
 	RetryAfter time.Duration
+	// ClosesConnection is set if the rest of the request is not read.
+	ClosesConnection bool
 }
 
 // Error implements error.
@@ -94,6 +98,9 @@
 		body = nil
 	}
 	ctx.Response.Reset()
+	if p.ClosesConnection {
+		ctx.SetConnectionClose()
+	}
 	writeTraceHeaders(ctx, c, p.Outcome)
 	if p.RetryAfter > 0 {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
--- a/internal/entryserver/server.go
+++ b/internal/entryserver/server.go
@@ -4,6 +4,8 @@
 	"context"
 	"expvar"
 	"math/rand/v2"
+	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +24,7 @@
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/internal/messenger"
 	"flamingoledge.org/flamingoledge/internal/notifier"
+	"flamingoledge.org/flamingoledge/internal/receiver"
 	"flamingoledge.org/flamingoledge/internal/synchronizer"
 	"flamingoledge.org/flamingoledge/pkg/controller"
 	"flamingoledge.org/flamingoledge/pkg/provider"
@@ -35,6 +38,8 @@
 	shutdownTimeout    = time.Second
 	drainPollInterval  = 10 * time.Millisecond
 	httpIdleTimeout    = 30 * time.Second
+	// httpHeaderTimeout bounds the time until the head of a request has been read.
+	httpHeaderTimeout = 10 * time.Second
 	// maxAuditAppendsPerSecond limits the audit appends of all entries together.
 	maxAuditAppendsPerSecond = 60
 )
@@ -53,7 +58,10 @@
 	crashTracker  *crashtracker.Tracker
 	audit         *auditor.Auditor
 	announcer     *announcer.Announcer
-	recovering    atomic.Bool
+	// callers keeps account of what callers hold. The control listener is not counted, as no caller
+	// reaches it.
+	callers    *receiver.Receiver
+	recovering atomic.Bool
 
 	draining atomic.Bool
 	inFlight atomic.Int64
@@ -64,6 +72,12 @@
 func New(cfg Config) (s *Server, err error) {
 	s = &Server{cfg: cfg, metrics: new(expvar.Map).Init()}
 	s.conns.Dialer = cfg.Dialer
+	s.callers = receiver.New(receiver.Config{
+		Limits: receiver.NewLimits(cfg.Callers, receiver.Process{
+			MemoryMB: cfg.MemoryMB, MaxDescriptors: cfg.MaxDescriptors, MaxBodyBytes: cfg.MaxBodyBytes, Copies: bodyCopies,
+		}),
+		Copies: bodyCopies, Logger: cfg.Logger, Metrics: s.metrics,
+	})
 	s.crashTracker = crashtracker.New(cfg.Log, cfg.Logger)
 	s.audit = auditor.New(auditor.Config{Log: cfg.Log, Logger: cfg.Logger, Instance: cfg.Instance, Interval: s.auditInterval})
 	if s.workerPool, err = ants.NewPool(cfg.TrafficGoroutines, ants.WithNonblocking(true)); err != nil {
@@ -114,15 +128,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	backgroundCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	server := &fasthttp.Server{
-		Handler:               s.handle,
-		MaxRequestBodySize:    s.cfg.MaxBodyBytes,
-		NoDefaultServerHeader: true,
-		Logger:                logger.Discard{},
-		IdleTimeout:           httpIdleTimeout,
-		ErrorHandler:          s.handleProtocolError,
-		CloseOnShutdown:       true,
-	}
+	server := s.newCallersServer()
 	var wg sync.WaitGroup
 	serveErrs := make(chan error, 2)
 	wg.Go(func() { s.board.Run(backgroundCtx) })
@@ -132,13 +138,14 @@
 	wg.Go(func() { s.writeSnapshots(backgroundCtx) })
 	wg.Go(func() { s.catchUp(backgroundCtx) })
 	wg.Go(func() { s.announcer.Run(backgroundCtx) })
+	wg.Go(func() { s.callers.Run(backgroundCtx) })
 	wg.Go(func() { serveErrs <- connector.Serve(backgroundCtx, s.cfg.ControlListener, s.cfg.ServerTLS, s.mux()) })
 	servingCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	served := make(chan struct{})
 	wg.Go(func() {
 		defer close(served)
-		serveErrs <- httpserver.Run(servingCtx, server, s.cfg.HTTPListener, shutdownTimeout)
+		serveErrs <- httpserver.Run(servingCtx, server, s.callers.Listener(s.cfg.HTTPListener), shutdownTimeout)
 	})
 	logger.Log(s.cfg.Logger, logger.ProcessStarted, zap.String("address", s.cfg.Address), zap.String("http_address", s.cfg.HTTPAddress))
 	var err error
@@ -157,6 +164,54 @@
 	return err
 }
 
+// newCallersServer returns the server of callers. It leaves bodies to the handler, which reads them as
+// far as there is memory for them.
+func (s *Server) newCallersServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                      s.handle,
+		MaxRequestBodySize:           s.cfg.MaxBodyBytes,
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		Logger:                       logger.Discard{},
+		ReadTimeout:                  httpHeaderTimeout,
+		IdleTimeout:                  httpIdleTimeout,
+		HeaderReceived:               s.prepareBody,
+		ExpectHandler:                s.expectBody,
+		ErrorHandler:                 s.handleProtocolError,
+		CloseOnShutdown:              true,
+		ConnState: func(nc net.Conn, state fasthttp.ConnState) {
+			if state == fasthttp.StateIdle {
+				s.callers.RecordIdle(nc)
+			}
+		},
+	}
+}
+
+// prepareBody is called after the head of a request has been read, before fasthttp reads the first part
+// of the body. It bounds the time for that. A body over the limit is not read at all: fasthttp asks
+// expectBody about a request that waits for "100 Continue" before it reads from it.
+func (s *Server) prepareBody(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if h.ContentLength() > s.cfg.MaxBodyBytes {
+		h.Set(fasthttp.HeaderExpect, "100-continue")
+	}
+	timeout := bodyTimeout
+	if ms, err := strconv.ParseInt(string(h.Peek(HeaderDeadline)), 10, 64); err == nil && ms > 0 && ms < timeout.Milliseconds() {
+		timeout = time.Duration(ms) * time.Millisecond
+	}
+	return fasthttp.RequestConfig{ReadTimeout: timeout}
+}
+
+// expectBody decides whether the body of a request may be sent. It responds if not.
+func (s *Server) expectBody(ctx *fasthttp.RequestCtx) (status int) {
+	if ctx.Request.Header.ContentLength() <= s.cfg.MaxBodyBytes {
+		return fasthttp.StatusContinue
+	}
+	p := unreadBody(&receiver.TooLargeError{LimitBytes: int64(s.cfg.MaxBodyBytes)})
+	s.refuse(ctx, &call{}, p)
+	return p.Status
+}
+
 // drain refuses new requests and waits for those in progress, up to the drain timeout.
 func (s *Server) drain() {
 	logger.Log(s.cfg.Logger, logger.ProcessDraining, zap.Int64("in_progress", s.inFlight.Load()))
