Evict connections also while too many are open

What was seen: in TestHandledRequestsAreAnswered with callers that pause for 1 ms, 22 idle connections gave way in a second at 8 allowed ones, and the other 16 callers were refused meanwhile.

Cause: an idle connection that is used again while it is evicted stays open. So many could be open that every new one was refused before any idle one was looked for.

Change: a connection is evicted for each one that is refused, too, as far as others are not being closed already.

--- a/pkg/budgeter/budgeter.go
+++ b/pkg/budgeter/budgeter.go
@@ -140,16 +140,16 @@
 
 // Open registers a connection that a caller has opened, unless it is refused.
 func (b *Budget) Open(now time.Time, id ID) (d Decision) {
-	if len(b.conns) >= b.cfg.MaxConns+b.cfg.MaxEvictedConns {
-		return Decision{Outcome: OutcomeRefused, Reason: ReasonFull}
-	}
-	if len(b.conns)-b.evicted >= b.cfg.MaxConns {
-		victim, reason := b.unused(now)
-		if victim == nil {
-			return Decision{Outcome: OutcomeRefused, Reason: ReasonFull}
+	mustEvict := len(b.conns)-b.evicted >= b.cfg.MaxConns
+	if mustEvict && b.evicted < b.cfg.MaxEvictedConns {
+		if victim, reason := b.unused(now); victim != nil {
+			b.evict(victim)
+			d.Evictions = []Eviction{{ID: victim.id, Reason: reason}}
 		}
-		b.evict(victim)
-		d.Evictions = []Eviction{{ID: victim.id, Reason: reason}}
+	}
+	if mustEvict && len(d.Evictions) == 0 || len(b.conns) >= b.cfg.MaxConns+b.cfg.MaxEvictedConns {
+		d.Outcome, d.Reason = OutcomeRefused, ReasonFull
+		return d
 	}
 	c := &conn{id: id, progressAt: now}
 	c.element = b.receiving.PushBack(c)
--- a/pkg/budgeter/budgeter_test.go
+++ b/pkg/budgeter/budgeter_test.go
@@ -246,6 +246,27 @@
 	is.Equal(b.Open(now, 1000).Outcome, budgeter.OutcomeGranted)
 }
 
+// TestRevivedConnections guards against callers that are kept out by idle connections, of which more are
+// open than allowed because they were used again while they were evicted.
+func TestRevivedConnections(t *testing.T) {
+	is := is.New(t)
+	b, now := budgeter.New(cfg), time.Unix(1000, 0)
+	const all = budgeter.ID(300 + 30)
+	for id := range all {
+		is.Equal(b.Open(now, id).Outcome, budgeter.OutcomeGranted)
+		for i := range id + 1 {
+			b.Receive(now, i, 1)
+			b.Complete(now, i)
+			b.Answer(now, i)
+		}
+	}
+	d := b.Open(now, all)
+	is.Equal(d.Outcome, budgeter.OutcomeRefused)
+	is.Equal(len(d.Evictions), 1)
+	b.Close(d.Evictions[0].ID)
+	is.Equal(b.Open(now, all).Outcome, budgeter.OutcomeGranted)
+}
+
 // TestIdleConnections guards against requests that are lost because they cross the eviction of their
 // idle connection, and against idle connections that are kept for longer than allowed.
 func TestIdleConnections(t *testing.T) {
