Close connections whose callers don't read their answers

What was seen: by reading, a caller of the own interface that does not read its answer keeps its connection for good; connections that are being served don't give way to others, so such callers can take all of them.

Cause: the server had no time-out for writing.

Change: connections of callers fail a write of which no 64 KB are accepted in 10 s.

Evidence: TestUnreadAnswersAreCutOff; an answer of 20 MB that is read in 13 s is written whole.

--- a/internal/receiver/conn.go
+++ b/internal/receiver/conn.go
@@ -28,6 +28,8 @@
 	mu sync.Mutex
 	// isExpired is set if reading has been ended.
 	isExpired bool
+	// writeDeadline is that of the server; the zero time for none.
+	writeDeadline time.Time
 }
 
 // headCopies is how often a server holds the bytes of a head: as they were read and as header fields.
@@ -51,6 +53,46 @@
 	return n, err
 }
 
+const (
+	// writeTimeout is how long a caller may read nothing of its answer.
+	writeTimeout = 10 * time.Second
+	// writeBytes is the size of the parts in which an answer is written, so that it is not cut off
+	// while its caller reads slowly.
+	writeBytes = 64 << 10
+)
+
+// Write implements net.Conn. It fails if the caller does not read.
+func (c *Conn) Write(p []byte) (n int, err error) {
+	for {
+		part := p[n:min(n+writeBytes, len(p))]
+		if err = c.extendWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return n, err
+		}
+		m, err := c.Conn.Write(part)
+		if n += m; err != nil || n == len(p) {
+			return n, err
+		}
+	}
+}
+
+// extendWriteDeadline sets the deadline of the next write, unless that of the server is earlier.
+func (c *Conn) extendWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(t) {
+		t = c.writeDeadline
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = t
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.closed.Do(func() {
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -184,6 +184,7 @@
 				_ = conn.SetDeadline(time.Now().Add(testTimeout))
 				for br := bufio.NewReader(conn); time.Now().Before(end) && isServed(conn, br); {
 					answered.Add(1)
+					time.Sleep(time.Millisecond)
 				}
 				_ = conn.Close()
 			}
@@ -213,6 +214,64 @@
 	is.Equal(s.logs.FilterMessage("callers_evicted").Len(), 0)
 }
 
+// TestUnreadAnswersAreCutOff guards against connections that stay open because their callers don't read,
+// and against answers that are cut off although they are read slowly.
+func TestUnreadAnswersAreCutOff(t *testing.T) {
+	const answerBytes, readBytes = 20 << 20, 400 << 10
+	tests := map[string]struct {
+		// pause is the time between two reads of readBytes; 0 if nothing is read. All take longer than a
+		// caller may read nothing.
+		pause time.Duration
+		whole bool
+	}{
+		"not read":    {},
+		"read slowly": {pause: 300 * time.Millisecond, whole: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			r := receiver.New(receiver.Config{
+				Limits: receiver.Limits{MemoryBytes: 1 << 20, MaxConns: 8, StallTime: time.Second}, Copies: 1, Logger: zap.NewNop(), Metrics: new(expvar.Map).Init(),
+			})
+			accepting := r.Listener(lis)
+			defer func() { _ = accepting.Close() }()
+			written := make(chan int, 1)
+			go func() {
+				conn, acceptErr := accepting.Accept()
+				if acceptErr != nil {
+					written <- 0
+					return
+				}
+				n, _ := conn.Write(make([]byte, answerBytes))
+				_ = conn.Close()
+				written <- n
+			}()
+			conn, err := net.Dial("tcp", lis.Addr().String())
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			_ = conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+			if tc.pause > 0 {
+				go func() {
+					for buf := make([]byte, readBytes); ; time.Sleep(tc.pause) {
+						if _, readErr := io.ReadFull(conn, buf); readErr != nil {
+							return
+						}
+					}
+				}()
+			}
+			select {
+			case n := <-written:
+				is.Equal(n == answerBytes, tc.whole)
+			case <-time.After(3 * testTimeout):
+				t.Fatal("the write did not end")
+			}
+		})
+	}
+}
+
 func TestNewLimits(t *testing.T) {
 	const largest = 8 << 20
 	tests := map[string]struct {
