--- a/cmd/flamingoledge-node/crowd_test.go
+++ b/cmd/flamingoledge-node/crowd_test.go
@@ -29,6 +29,12 @@
 	maxDescriptors = 600
 	maxBodyBytes   = 1 << 20
 	maxHeadBytes   = 16 << 10
+	// fullMemoryMB, fullDescriptors and fullBodyBytes are the limits of an entry of a small deployment, and
+	// fullCallers a crowd that exceeds them.
+	fullMemoryMB    = 284
+	fullDescriptors = 4200
+	fullBodyBytes   = 4 << 20
+	fullCallers     = 6000
 	// bodyCallers send bodies of maxBodyBytes, which take more than the memory of the entry together.
 	bodyCallers = 200
 	// connCallers open more connections than the entry may have.
@@ -53,6 +59,7 @@
 		t.Skip("needs the machine for itself, see -crowd")
 	}
 	program := build(t)
+	lowered := limits{memoryMB: memoryMB, descriptors: maxDescriptors, bodyBytes: maxBodyBytes}
 	tests := map[string]flooder.Config{
 		"whole bodies":                  {Callers: bodyCallers, Attempts: 4, Request: flooder.Whole(crowdHead, maxBodyBytes)},
 		"bodies short of the end":       {Callers: bodyCallers, Attempts: 2, Request: flooder.Announced(crowdHead, maxBodyBytes, 1)},
@@ -71,29 +78,49 @@
 			flooder.Chunked(crowdHead, 4*maxBodyBytes, 64<<10, false), flooder.HalfHead(crowdHead, maxHeadBytes-1), flooder.Text(usualRequest))},
 	}
 	for name, cfg := range tests {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			e := startEntry(t, program)
-			cfg.Address, cfg.Seed = e.address, crowdSeed
-			// A body of the largest size is served while there is no crowd.
-			is.Equal(e.send(strings.Repeat("0", maxBodyBytes)), http.StatusOK)
-			meter := flooder.StartMeter(e.cmd.Process.Pid, e.port)
-			crowd := flooder.Start(cfg)
-			defer crowd.Close()
-			allSent := crowd.AwaitSent(testTimeout)
-			time.Sleep(crowdTime)
-			served := e.isServed()
-			peak := meter.Stop()
-			t.Logf("peak: %.1f MB, %d descriptors", float64(peak.MemoryBytes)/(1<<20), peak.Descriptors)
-			is.True(allSent)
-			is.True(served) // an ordinary request beside the crowd
-			is.True(!e.hasEnded())
-			is.True(peak.MemoryBytes <= memoryMB<<20)
-			is.True(peak.Descriptors <= maxDescriptors)
-		})
+		t.Run(name, func(t *testing.T) { testCrowd(t, program, lowered, cfg) })
 	}
 }
 
+// TestLargeCrowd guards against limits that only hold for small processes. Its callers send all kinds of
+// requests of TestCrowd at the same time.
+func TestLargeCrowd(t *testing.T) {
+	if !*withCrowd {
+		t.Skip("needs the machine for itself, see -crowd")
+	}
+	full := limits{memoryMB: fullMemoryMB, descriptors: fullDescriptors, bodyBytes: fullBodyBytes}
+	testCrowd(t, build(t), full, flooder.Config{Callers: fullCallers, Attempts: 4, Request: flooder.AnyOf(
+		flooder.Whole(crowdHead, fullBodyBytes), flooder.Pieces(crowdHead, fullBodyBytes, 64<<10), flooder.Chunked(crowdHead, fullBodyBytes, 64, false),
+		flooder.Chunked(crowdHead, 4*fullBodyBytes, 64<<10, false), flooder.HalfHead(crowdHead, maxHeadBytes-1), flooder.Text(usualRequest))})
+}
+
+// limits are those of an entry.
+type limits struct {
+	memoryMB, descriptors, bodyBytes int
+}
+
+func testCrowd(t *testing.T, program string, l limits, cfg flooder.Config) {
+	t.Helper()
+	is := is.New(t)
+	e := startEntry(t, program, l)
+	cfg.Address, cfg.Seed = e.address, crowdSeed
+	// A body of the largest size is served while there is no crowd.
+	is.Equal(e.send(strings.Repeat("0", l.bodyBytes)), http.StatusOK)
+	meter := flooder.StartMeter(e.cmd.Process.Pid, e.port)
+	crowd := flooder.Start(cfg)
+	defer crowd.Close()
+	allSent := crowd.AwaitSent(testTimeout)
+	time.Sleep(crowdTime)
+	served := e.isServed()
+	peak := meter.Stop()
+	t.Logf("peak: %.1f MB, %d descriptors", float64(peak.MemoryBytes)/(1<<20), peak.Descriptors)
+	is.True(allSent)
+	is.True(served) // an ordinary request beside the crowd
+	is.True(!e.hasEnded())
+	is.True(peak.MemoryBytes <= int64(l.memoryMB)<<20)
+	is.True(peak.Descriptors <= l.descriptors)
+}
+
 // build builds the program and returns its path.
 func build(t *testing.T) string {
 	t.Helper()
@@ -119,12 +146,12 @@
 	chunkBytes        = 1024
 )
 
-func startEntry(t *testing.T, program string) *entry {
+func startEntry(t *testing.T, program string, l limits) *entry {
 	t.Helper()
 	port := freePort(t)
 	store, weights := standin.NewStore(), standin.NewWeights("m", chunkCount, chunkBytes, 1)
 	t.Cleanup(store.Close)
-	configure(store)
+	configure(store, l.bodyBytes)
 	engine, err := standin.NewEngine(standin.EngineConfig{
 		ID: "i-0", Service: "llm", Zone: "z", Address: fmt.Sprintf("%s:%d", engineIP, port+1), Store: store, Weights: weights, Version: 1,
 		Spec: resolver.Engine{Slots: 8, Stride: 5, StepTime: time.Millisecond, PrefillTokensPerSecond: 50_000, MeanPromptTokens: 100, MeanAnswerTokens: 20, Layers: 2},
@@ -138,7 +165,7 @@
 	settings, err := json.Marshal(map[string]any{
 		"instance": map[string]any{"name": "entry-0", "availability_zone": "z", "region": "r"}, "regions": map[string]string{"z": "r"},
 		"address": entryIP, "node_port": port, "callers_address": e.address, "ready_address": fmt.Sprintf("%s:%d", entryIP, port+2),
-		"seeds": []string{entryIP + ":1"}, "store": store.AddressOf(entryIP), "link_mbps": 1000, "memory_mb": memoryMB, "max_descriptors": maxDescriptors,
+		"seeds": []string{entryIP + ":1"}, "store": store.AddressOf(entryIP), "link_mbps": 1000, "memory_mb": l.memoryMB, "max_descriptors": l.descriptors,
 		"bounds": map[string]any{"drain_ms": 2000, "grace_s": 2, "revocation_ms": 5000, "retry_ratio": 0.2, "retry_extra": 100},
 	})
 	if err != nil {
@@ -176,7 +203,7 @@
 }
 
 // configure writes the configuration and the engine's service to the store.
-func configure(store *standin.Store) {
+func configure(store *standin.Store, maxBodyBytes int) {
 	store.PutConfiguration(map[string]any{
 		"version": 1,
 		"routes": []any{map[string]any{
--- a/internal/receiver/limits.go
+++ b/internal/receiver/limits.go
@@ -30,7 +30,7 @@
 	// memoryShare is the part of a process's memory that requests may take, and connShare the part for
 	// the connections themselves. The rest is for answers, routing state, garbage and kernel buffers.
 	memoryShare, connShare = 0.15, 0.2
-	// connBytes is what the goroutines and buffers of a connection take.
+	// connBytes is what the goroutines and buffers of a connection take, beside the kernel's.
 	connBytes = 24 << 10
 	// defaultMemoryMB is assumed for a process that does not know its memory.
 	defaultMemoryMB = 1024
