Let refusals reach callers that are still sending

Cause: after a refusal the server closed the connection with unread bytes, which resets it.

Change: the connection of a refused request is half-closed, and what its caller still sends is read and dropped for up to 5 s. When another caller needs the connection, the one that has waited for longest is closed.

--- a/internal/forwarder/unread_body_test.go
+++ b/internal/forwarder/unread_body_test.go
@@ -118,6 +118,25 @@
 	return conn
 }
 
+// TestRefusalReachesSender guards against a refusal that is lost because its connection is reset while the
+// caller sends the rest of the request.
+func TestRefusalReachesSender(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newTestForwarder(t, newEndpoint(t, respondWith("yes")))
+	conn := dial(t, f.serve(t, receiver.Limits{MemoryBytes: 2 * largeBodyBytes, MaxConns: 10, StallTime: 100 * time.Millisecond}))
+	// More than the buffers of both sides hold.
+	const size = 12 << 20
+	_, err := io.WriteString(conn, "POST /unsafe/1 HTTP/1.1\r\nHost: h\r\nId: r1\r\nDeadline: 3s\r\nContent-Length: "+strconv.Itoa(size)+"\r\n\r\n")
+	is.NoErr(err)
+	_, err = conn.Write(make([]byte, size))
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
+}
+
 // TestLargeBodyArrivesUnchanged guards against parts of a body that are lost, repeated or swapped.
 func TestLargeBodyArrivesUnchanged(t *testing.T) {
 	t.Parallel()
--- a/internal/receiver/body.go
+++ b/internal/receiver/body.go
@@ -74,11 +74,13 @@
 	b = &Body{conn: c}
 	c.BeginRequest()
 	if length > limit {
-		return nil, &TooLargeError{LimitBytes: limit}
+		err = &TooLargeError{LimitBytes: limit}
+	} else {
+		err = b.read(src, length, limit)
 	}
-	err = b.read(src, length, limit)
 	if c != nil {
 		err = c.complete(err)
+		c.isRefused.Store(err != nil)
 	}
 	if err != nil {
 		b.Release()
--- a/internal/receiver/conn.go
+++ b/internal/receiver/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -23,7 +24,9 @@
 	reason budgeter.Reason
 	// inRequest is set from the end of a request's head until its answer has been sent.
 	inRequest atomic.Bool
-	closed    sync.Once
+	// isRefused is set if a request was refused before it had been received.
+	isRefused        atomic.Bool
+	lingered, closed sync.Once
 
 	mu sync.Mutex
 	// isExpired is set if reading has been ended.
@@ -93,15 +96,41 @@
 	return c.Conn.SetWriteDeadline(t)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. If a request was refused before it had been received, the connection is
+// closed a little later, so that the answer reaches a caller that is still sending: closing a connection
+// with unread bytes resets it.
 func (c *Conn) Close() error {
+	if !c.isRefused.Load() {
+		return c.closeNow()
+	}
+	c.lingered.Do(func() {
+		c.receiver.addLingering(c)
+		go c.linger()
+	})
+	return nil
+}
+
+// closeNow closes the connection, once.
+func (c *Conn) closeNow() (err error) {
 	c.closed.Do(func() {
-		c.receiver.update(func(b *budgeter.Budget) { b.Close(c.id) })
-		c.receiver.mu.Lock()
-		delete(c.receiver.conns, c.id)
-		c.receiver.mu.Unlock()
+		c.receiver.remove(c)
+		err = c.Conn.Close()
 	})
-	return c.Conn.Close()
+	return err
+}
+
+const (
+	// lingerTime is how long the rest of a refused request is read, unless others need the connection,
+	// and lingerBytes how much of it.
+	lingerTime  = 5 * time.Second
+	lingerBytes = 16 << 20
+)
+
+// linger discards what the caller still sends and closes the connection. An eviction ends it.
+func (c *Conn) linger() {
+	_ = c.CloseWrite()
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	_ = c.closeNow()
 }
 
 // CloseWrite closes the sending side.
@@ -130,12 +159,12 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// revive takes back expire.
-func (c *Conn) revive() {
+// revive takes back expire. Reading ends at a deadline, if that is not the zero time.
+func (c *Conn) revive(deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isExpired = false
-	_ = c.Conn.SetReadDeadline(time.Time{})
+	_ = c.Conn.SetReadDeadline(deadline)
 }
 
 // ConnOf returns the connection below the wrappers of a server; nil if no receiver has accepted it.
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +45,8 @@
 	// evictions counts the connections that gave way by reason, refused those that were not accepted.
 	evictions map[budgeter.Reason]int
 	refused   int
+	// lingering holds the connections that are closed soon, the oldest first.
+	lingering []*Conn
 	// logged is the sum of the counts at the last log line.
 	logged int
 }
@@ -128,9 +131,14 @@
 		if err != nil {
 			return nil, err
 		}
-		if c := l.receiver.open(nc); c != nil {
+		c := l.receiver.open(nc)
+		if c == nil && l.receiver.closeLingering() {
+			c = l.receiver.open(nc)
+		}
+		if c != nil {
 			return c, nil
 		}
+		l.receiver.recordRefusal()
 		_ = nc.Close()
 	}
 }
@@ -144,14 +152,51 @@
 	d := r.budget.Open(time.Now(), c.id)
 	r.evict(d.Evictions)
 	if d.Outcome != budgeter.OutcomeGranted {
-		r.refused++
-		r.cfg.Metrics.Add("callers_refused_connections", 1)
 		return nil
 	}
 	r.conns[c.id] = c
 	return c
 }
 
+func (r *Receiver) recordRefusal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refused++
+	r.cfg.Metrics.Add("callers_refused_connections", 1)
+}
+
+// remove removes a connection from the account.
+func (r *Receiver) remove(c *Conn) {
+	r.update(func(b *budgeter.Budget) {
+		b.Close(c.id)
+		delete(r.conns, c.id)
+		if i := slices.Index(r.lingering, c); i >= 0 {
+			r.lingering = slices.Delete(r.lingering, i, i+1)
+		}
+	})
+}
+
+// addLingering registers a connection that is closed soon, and bounds the time until then.
+func (r *Receiver) addLingering(c *Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lingering = append(r.lingering, c)
+	c.revive(time.Now().Add(lingerTime))
+}
+
+// closeLingering closes the connection that has lingered for longest. It returns false if there is none.
+func (r *Receiver) closeLingering() bool {
+	r.mu.Lock()
+	if len(r.lingering) == 0 {
+		r.mu.Unlock()
+		return false
+	}
+	c := r.lingering[0]
+	r.mu.Unlock()
+	_ = c.closeNow()
+	return true
+}
+
 // evict ends reading from connections, so that the server closes them. The caller holds r.mu.
 func (r *Receiver) evict(evictions []budgeter.Eviction) {
 	for _, e := range evictions {
@@ -221,7 +266,7 @@
 	}
 	if c.reason != "" {
 		c.reason = ""
-		c.revive()
+		c.revive(time.Time{})
 	}
 	return true
 }
