--- a/cmd/flamingoledge-node/crowd_test.go
+++ b/cmd/flamingoledge-node/crowd_test.go
@@ -41,6 +41,9 @@
 	connCallers = 900
 	crowdSeed   = 57
 	testTimeout = 30 * time.Second
+	// hangTimeout is longer than any crowd takes to send its requests, on any machine. A process that
+	// hangs keeps it waiting.
+	hangTimeout = 5 * time.Minute
 	// crowdTime is how long a crowd goes on after all callers have sent their requests once.
 	crowdTime = 2 * time.Second
 	// maxRequests is how often the caller of an ordinary request sends it until it is served.
@@ -109,7 +112,7 @@
 	meter := flooder.StartMeter(e.cmd.Process.Pid, e.port)
 	crowd := flooder.Start(cfg)
 	defer crowd.Close()
-	allSent := crowd.AwaitSent(testTimeout)
+	allSent := crowd.AwaitSent(hangTimeout)
 	time.Sleep(crowdTime)
 	served := e.isServed()
 	peak := meter.Stop()
--- a/cmd/flamingoledge/crowd_test.go
+++ b/cmd/flamingoledge/crowd_test.go
@@ -27,9 +27,11 @@
 	// bodyCallers send bodies of crowdBodyBytes, which take more than the memory of the entry together.
 	bodyCallers = 200
 	// connCallers open more connections than the entry may have.
-	connCallers  = 900
-	crowdSeed    = 57
-	crowdTimeout = 30 * time.Second
+	connCallers = 900
+	crowdSeed   = 57
+	// hangTimeout is longer than any crowd takes to send its requests, on any machine. A process that
+	// hangs keeps it waiting.
+	hangTimeout = 5 * time.Minute
 	// crowdTime is how long a crowd goes on after all callers have sent their requests once.
 	crowdTime = 2 * time.Second
 	// maxRequests is how often the caller of an ordinary request sends it until it is served.
@@ -77,7 +79,7 @@
 			meter := flooder.StartMeter(c.procs["entry-1"].Process.Pid, portOf(t, c.entries[0]))
 			crowd := flooder.Start(cfg)
 			defer crowd.Close()
-			allSent := crowd.AwaitSent(crowdTimeout)
+			allSent := crowd.AwaitSent(hangTimeout)
 			time.Sleep(crowdTime)
 			served := false
 			for range maxRequests {
