--- a/cmd/flamingoledge-node/cmds/cmds.go
+++ b/cmd/flamingoledge-node/cmds/cmds.go
@@ -20,6 +20,7 @@
 	"flamingoledge.org/flamingoledge/internal/configurator"
 	"flamingoledge.org/flamingoledge/internal/gatewayserver"
 	"flamingoledge.org/flamingoledge/internal/logger"
+	"flamingoledge.org/flamingoledge/internal/memorylimiter"
 	"flamingoledge.org/flamingoledge/internal/monitor"
 )
 
@@ -34,11 +35,6 @@
 // for use without the flag.
 const settingsEnvVar = "FLAMINGOLEDGE_NODE_FILE"
 
-// memoryLimitFraction is the fraction of the available memory that is set as the
-// soft limit of the Go runtime, above which the garbage collector runs more often.
-// The rest is for kernel buffers and stacks.
-const memoryLimitFraction = 0.6
-
 // gcPercents are the targets of the garbage collector by role. A sidecar allocates little,
 // and its instance is shorter of memory than of CPU time. An entry allocates for each
 // request, so collecting as early would take a third of its CPU time.
@@ -136,9 +132,7 @@
 		return err
 	}
 	defer writer.Close()
-	if n.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(n.MemoryMB) * (1 << 20)))
-	}
+	memorylimiter.Limit(n.MemoryMB)
 	debug.SetGCPercent(gcPercents[role])
 	metrics := new(expvar.Map).Init()
 	var s server
--- a/cmd/flamingoledge/crowd_test.go
+++ b/cmd/flamingoledge/crowd_test.go
@@ -29,8 +29,7 @@
 	// connCallers open more connections than the entry may have.
 	connCallers = 900
 	crowdSeed   = 57
-	// hangTimeout is longer than any crowd takes to send its requests, on any machine. A process that
-	// hangs keeps it waiting.
+	// hangTimeout bounds a process that hangs. It is longer than any machine takes.
 	hangTimeout = 5 * time.Minute
 	// crowdTime is how long a crowd goes on after all callers have sent their requests once.
 	crowdTime = 2 * time.Second
@@ -47,24 +46,11 @@
 		t.Skip("needs the machine for itself, see -crowd")
 	}
 	const usualBody = `{"prompt":"p","tokens":5}`
-	tests := map[string]flooder.Config{
-		"whole bodies":                  {Callers: bodyCallers, Attempts: 4, Request: flooder.Whole(crowdHead, crowdBodyBytes)},
-		"bodies short of the end":       {Callers: bodyCallers, Attempts: 2, Request: flooder.Announced(crowdHead, crowdBodyBytes, 1)},
-		"bodies in pieces":              {Callers: bodyCallers, Attempts: 2, Request: flooder.Pieces(crowdHead, crowdBodyBytes, 64<<10)},
-		"large chunks":                  {Callers: bodyCallers, Attempts: 2, Request: flooder.Chunked(crowdHead, crowdBodyBytes, 256<<10, false)},
-		"small chunks":                  {Callers: bodyCallers, Attempts: 2, Request: flooder.Chunked(crowdHead, crowdBodyBytes, 64, false)},
-		"whole bodies in chunks":        {Callers: bodyCallers, Attempts: 4, Request: flooder.Chunked(crowdHead, crowdBodyBytes, 64<<10, true)},
-		"announced far over the limit":  {Callers: bodyCallers, Attempts: 4, Request: flooder.Announced(crowdHead, 64*crowdBodyBytes, 60*crowdBodyBytes)},
-		"sent far over the limit":       {Callers: bodyCallers, Attempts: 4, Request: flooder.Chunked(crowdHead, 4*crowdBodyBytes, 64<<10, false)},
-		"half-sent heads":               {Callers: connCallers, Attempts: 1, Request: flooder.HalfHead(crowdHead, crowdHeadBytes)},
-		"silent connections":            {Callers: connCallers, Attempts: 1, Request: flooder.Silent()},
-		"idle connections":              {Callers: connCallers, Attempts: 1, Request: flooder.Text(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", crowdHead, len(usualBody), usualBody))},
-		"small bodies short of the end": {Callers: connCallers, Attempts: 1, Request: flooder.Announced(crowdHead, 2000, 1)},
-		"mixed": {Callers: connCallers, Attempts: 4, Request: flooder.AnyOf(
-			flooder.Whole(crowdHead, crowdBodyBytes), flooder.Pieces(crowdHead, crowdBodyBytes, 64<<10), flooder.Chunked(crowdHead, crowdBodyBytes, 64, false),
-			flooder.Chunked(crowdHead, 4*crowdBodyBytes, 64<<10, false), flooder.HalfHead(crowdHead, crowdHeadBytes), flooder.Silent())},
+	sizes := flooder.Sizes{
+		BodyCallers: bodyCallers, ConnCallers: connCallers, Head: crowdHead, BodyBytes: crowdBodyBytes, HeadBytes: crowdHeadBytes,
+		Usual: flooder.Text(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", crowdHead, len(usualBody), usualBody)), Last: flooder.Silent(),
 	}
-	for name, cfg := range tests {
+	for name, cfg := range flooder.Crowds(sizes) {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			c := newCluster(t)
@@ -94,9 +80,8 @@
 			is.True(served) // an ordinary request beside the crowd
 			is.True(peak.MemoryBytes <= crowdMemoryMB<<20)
 			is.True(peak.Descriptors <= crowdMaxDescriptors)
-			for name, p := range c.procs {
+			for _, p := range c.procs {
 				is.True(flooder.Measure(p.Process.Pid, 0).MemoryBytes > 0) // no process has ended
-				t.Logf("%s lives", name)
 			}
 		})
 	}
