Close the connections of refused requests before idle ones

What was seen: by reading, a new connection beyond the limit closed one that was idle or stalled, though others only waited for the rest of a refused request; these were closed only if there was no idle one.

Cause: connections of refused requests were kept in a list of the receiver, beside the budget that decides which connection gives way.

Change: they are a phase of the budget, the first that gives way. The list and the second attempt to open a connection are gone.

Evidence: the cases "refused", "idle, one was refused" and "silent, one was refused after it was evicted" of TestConnections.

--- a/internal/receiver/conn.go
+++ b/internal/receiver/conn.go
@@ -104,7 +104,7 @@
 		return c.closeNow()
 	}
 	c.lingered.Do(func() {
-		c.receiver.addLingering(c)
+		c.receiver.refuse(c, time.Now().Add(lingerTime))
 		go c.linger()
 	})
 	return nil
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -45,8 +44,6 @@
 	// evictions counts the connections that gave way by reason, refused those that were not accepted.
 	evictions map[budgeter.Reason]int
 	refused   int
-	// lingering holds the connections that are closed soon, the oldest first.
-	lingering []*Conn
 	// logged is the sum of the counts at the last log line.
 	logged int
 }
@@ -67,6 +64,9 @@
 	return r
 }
 
+// Limits returns what the callers may hold.
+func (r *Receiver) Limits() Limits { return r.cfg.Limits }
+
 func (r *Receiver) usage() budgeter.Usage {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -131,14 +131,9 @@
 		if err != nil {
 			return nil, err
 		}
-		c := l.receiver.open(nc)
-		if c == nil && l.receiver.closeLingering() {
-			c = l.receiver.open(nc)
-		}
-		if c != nil {
+		if c := l.receiver.open(nc); c != nil {
 			return c, nil
 		}
-		l.receiver.recordRefusal()
 		_ = nc.Close()
 	}
 }
@@ -152,49 +147,29 @@
 	d := r.budget.Open(time.Now(), c.id)
 	r.evict(d.Evictions)
 	if d.Outcome != budgeter.OutcomeGranted {
+		r.refused++
+		r.cfg.Metrics.Add("callers_refused_connections", 1)
 		return nil
 	}
 	r.conns[c.id] = c
 	return c
 }
 
-func (r *Receiver) recordRefusal() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.refused++
-	r.cfg.Metrics.Add("callers_refused_connections", 1)
-}
-
 // remove removes a connection from the account.
 func (r *Receiver) remove(c *Conn) {
 	r.update(func(b *budgeter.Budget) {
 		b.Close(c.id)
 		delete(r.conns, c.id)
-		if i := slices.Index(r.lingering, c); i >= 0 {
-			r.lingering = slices.Delete(r.lingering, i, i+1)
-		}
 	})
 }
 
-// addLingering registers a connection that is closed soon, and bounds the time until then.
-func (r *Receiver) addLingering(c *Conn) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lingering = append(r.lingering, c)
-	c.revive(time.Now().Add(lingerTime))
-}
-
-// closeLingering closes the connection that has lingered for longest. It returns false if there is none.
-func (r *Receiver) closeLingering() bool {
-	r.mu.Lock()
-	if len(r.lingering) == 0 {
-		r.mu.Unlock()
-		return false
-	}
-	c := r.lingering[0]
-	r.mu.Unlock()
-	_ = c.closeNow()
-	return true
+// refuse records that the request on a connection was refused, and lets its rest be read until a deadline.
+func (r *Receiver) refuse(c *Conn, deadline time.Time) {
+	r.update(func(b *budgeter.Budget) {
+		b.Refuse(time.Now(), c.id)
+		c.reason = ""
+		c.revive(deadline)
+	})
 }
 
 // evict ends reading from connections, so that the server closes them. The caller holds r.mu.
--- a/pkg/budgeter/budgeter.go
+++ b/pkg/budgeter/budgeter.go
@@ -56,6 +56,7 @@
 
 // Reasons.
 const (
+	ReasonRefused  Reason = "refused"
 	ReasonStalled  Reason = "stalled"
 	ReasonYoungest Reason = "youngest"
 	ReasonIdle     Reason = "idle"
@@ -89,6 +90,8 @@
 	phaseServing
 	// phaseIdle is between two requests.
 	phaseIdle
+	// phaseRefused is from the refusal of a request until its connection is closed.
+	phaseRefused
 )
 
 type conn struct {
@@ -105,7 +108,7 @@
 	evicted      bool
 	// isGrowing is set while the connection is in Budget.growing.
 	isGrowing bool
-	// element is the position in Budget.receiving or Budget.idle; nil in other phases.
+	// element is the position in the list of its phase; nil if the connection is evicted or served.
 	element *list.Element
 }
 
@@ -113,9 +116,9 @@
 type Budget struct {
 	cfg   Config
 	conns map[ID]*conn
-	// receiving and idle hold the connections in these phases that are not evicted, those that made
-	// progress first or are idle for longest in front.
-	receiving, idle *list.List
+	// receiving, idle and refused hold the connections in these phases that are not evicted, those whose
+	// progress or change of phase is longest ago in front.
+	receiving, idle, refused *list.List
 	// growing holds the connections with charged memory or that wait for some, the oldest first.
 	growing []*conn
 	// charged is the memory that counts, releasing the part of it that evicted connections hold.
@@ -125,7 +128,7 @@
 
 // New returns a budget without connections.
 func New(cfg Config) *Budget {
-	return &Budget{cfg: cfg, conns: map[ID]*conn{}, receiving: list.New(), idle: list.New()}
+	return &Budget{cfg: cfg, conns: map[ID]*conn{}, receiving: list.New(), idle: list.New(), refused: list.New()}
 }
 
 // Usage is what all callers hold together.
@@ -159,6 +162,9 @@
 
 // unused returns the connection that is closed for another one; nil if there is none.
 func (b *Budget) unused(now time.Time) (*conn, Reason) {
+	if c := first(b.refused); c != nil {
+		return c, ReasonRefused
+	}
 	if c := first(b.receiving); c != nil && b.isStalled(now, c) {
 		return c, ReasonStalled
 	}
@@ -184,7 +190,7 @@
 	if c == nil {
 		return false
 	}
-	if c.phase == phaseServing {
+	if c.phase == phaseServing || c.phase == phaseRefused {
 		return true
 	}
 	b.reviveIdle(c)
@@ -202,9 +208,16 @@
 
 // reviveIdle takes back the eviction of an idle connection.
 func (b *Budget) reviveIdle(c *conn) {
-	if c.evicted && c.phase == phaseIdle {
+	if c.phase == phaseIdle {
+		b.revive(c)
+	}
+}
+
+func (b *Budget) revive(c *conn) {
+	if c.evicted {
 		c.evicted = false
 		b.evicted--
+		b.releasing -= c.charged
 	}
 }
 
@@ -238,6 +251,16 @@
 	}
 }
 
+// Refuse records that a request was refused before it had been received, and that its memory is free. Its
+// connection stays open for the answer, and gives way to others first.
+func (b *Budget) Refuse(now time.Time, id ID) {
+	if c := b.conns[id]; c != nil {
+		b.free(c, c.held)
+		b.revive(c)
+		b.setPhase(now, c, phaseRefused)
+	}
+}
+
 // Close removes a connection.
 func (b *Budget) Close(id ID) {
 	c := b.conns[id]
@@ -395,6 +418,8 @@
 	case phaseIdle:
 		c.received = 0
 		c.element = b.idle.PushBack(c)
+	case phaseRefused:
+		c.element = b.refused.PushBack(c)
 	case phaseServing:
 	}
 }
@@ -404,11 +429,15 @@
 	if c.element == nil {
 		return
 	}
-	l := b.receiving
-	if c.phase == phaseIdle {
-		l = b.idle
+	switch c.phase {
+	case phaseReceiving:
+		b.receiving.Remove(c.element)
+	case phaseIdle:
+		b.idle.Remove(c.element)
+	case phaseRefused:
+		b.refused.Remove(c.element)
+	case phaseServing:
 	}
-	l.Remove(c.element)
 	c.element = nil
 }
 
--- a/pkg/budgeter/budgeter_test.go
+++ b/pkg/budgeter/budgeter_test.go
@@ -217,6 +217,19 @@
 				idle(b, now, id)
 			}
 		}, after: late, want: budgeter.Decision{Evictions: []budgeter.Eviction{{ID: 5, Reason: budgeter.ReasonStalled}}}},
+		"refused": {use: func(b *budgeter.Budget, now time.Time, id budgeter.ID) { b.Refuse(now, id) }, want: budgeter.Decision{Evictions: []budgeter.Eviction{{ID: 0, Reason: budgeter.ReasonRefused}}}},
+		"idle, one was refused": {use: func(b *budgeter.Budget, now time.Time, id budgeter.ID) {
+			if idle(b, now, id); id == 7 {
+				b.Refuse(now, id)
+			}
+		}, after: late, want: budgeter.Decision{Evictions: []budgeter.Eviction{{ID: 7, Reason: budgeter.ReasonRefused}}}},
+		"silent, one was refused after it was evicted": {use: func(b *budgeter.Budget, now time.Time, id budgeter.ID) {
+			if id == 9 {
+				b.Grow(now, id, 9*mb) // more than there is
+				b.Grow(now.Add(stallTime), id, 9*mb)
+				b.Refuse(now.Add(stallTime), id)
+			}
+		}, after: late, want: budgeter.Decision{Evictions: []budgeter.Eviction{{ID: 9, Reason: budgeter.ReasonRefused}}}},
 		"served": {use: func(b *budgeter.Budget, now time.Time, id budgeter.ID) { b.Complete(now, id) }, after: late, want: budgeter.Decision{Outcome: budgeter.OutcomeRefused, Reason: budgeter.ReasonFull}},
 	}
 	for name, tc := range tests {
