Allow more connections of callers by default

Change: connections may take a quarter of the memory instead of a fifth, and the receive buffer of each is 8 instead of 16 KB, so that the sum does not rise: a caller 10 ms away can still send 1 MB/s. What the limits are derived from is called Resources; both entries log them when they start.

--- a/internal/entryserver/server.go
+++ b/internal/entryserver/server.go
@@ -73,7 +73,7 @@
 	s = &Server{cfg: cfg, metrics: new(expvar.Map).Init()}
 	s.conns.Dialer = cfg.Dialer
 	s.callers = receiver.New(receiver.Config{
-		Limits: receiver.NewLimits(cfg.Callers, receiver.Process{
+		Limits: receiver.NewLimits(cfg.Callers, receiver.Resources{
 			MemoryMB: cfg.MemoryMB, MaxDescriptors: cfg.MaxDescriptors, MaxBodyBytes: cfg.MaxBodyBytes, Copies: bodyCopies,
 		}),
 		Copies: bodyCopies, Logger: cfg.Logger, Metrics: s.metrics,
@@ -147,7 +147,8 @@
 		defer close(served)
 		serveErrs <- httpserver.Run(servingCtx, server, s.callers.Listener(s.cfg.HTTPListener), shutdownTimeout)
 	})
-	logger.Log(s.cfg.Logger, logger.ProcessStarted, zap.String("address", s.cfg.Address), zap.String("http_address", s.cfg.HTTPAddress))
+	logger.Log(s.cfg.Logger, logger.ProcessStarted, zap.String("address", s.cfg.Address), zap.String("http_address", s.cfg.HTTPAddress),
+		zap.Int64("callers_memory_bytes", s.callers.Limits().MemoryBytes), zap.Int("callers_connections", s.callers.Limits().MaxConns))
 	var err error
 	select {
 	case <-ctx.Done():
--- a/internal/gatewayserver/server.go
+++ b/internal/gatewayserver/server.go
@@ -151,7 +151,10 @@
 		return nil, err
 	}
 	s.callers = receiver.New(receiver.Config{
-		Limits: callerLimits(n), Copies: bodyCopies, IdleTime: s.idleTime, Logger: cfg.Logger, Metrics: cfg.Metrics,
+		Limits: receiver.NewLimits(n.Callers, receiver.Resources{
+			MemoryMB: n.MemoryMB, MaxDescriptors: n.MaxDescriptors, MaxBodyBytes: maxBodyBytes, Copies: bodyCopies,
+		}),
+		Copies: bodyCopies, IdleTime: s.idleTime, Logger: cfg.Logger, Metrics: cfg.Metrics,
 	})
 	s.board = controller.New(controller.Config[state]{
 		Controllers:  s.controllers(),
@@ -251,7 +254,7 @@
 	wg.Go(func() { serveErrs <- readiness.Serve(ready) })
 	wg.Go(func() { serveErrs <- server.Serve() })
 	logger.Log(s.cfg.Logger, logger.ProcessStarted, zap.String("address", s.self), zap.String("callers_address", n.CallersAddress),
-		zap.Int64("callers_memory_bytes", callerLimits(n).MemoryBytes), zap.Int("callers_connections", callerLimits(n).MaxConns))
+		zap.Int64("callers_memory_bytes", s.callers.Limits().MemoryBytes), zap.Int("callers_connections", s.callers.Limits().MaxConns))
 	select {
 	case <-ctx.Done():
 		s.drain(server)
@@ -280,13 +283,6 @@
 // bodyCopies is how often the process holds the body of a request.
 const bodyCopies = 1
 
-// callerLimits returns what the callers of an entry may hold.
-func callerLimits(n *configurator.Node) receiver.Limits {
-	return receiver.NewLimits(n.Callers, receiver.Process{
-		MemoryMB: n.MemoryMB, MaxDescriptors: n.MaxDescriptors, MaxBodyBytes: maxBodyBytes, Copies: bodyCopies,
-	})
-}
-
 // idleTime returns for how long callers may leave a connection idle by the configuration; 0 if none
 // is known.
 func (s *Server) idleTime() time.Duration {
--- a/internal/receiver/conn.go
+++ b/internal/receiver/conn.go
@@ -198,8 +198,8 @@
 }
 
 // receiveBufferBytes bounds what the kernel holds of a connection while the process does not read; Linux
-// holds up to twice as much. A caller 10 ms away can still send 2 MB/s.
-const receiveBufferBytes = 16 << 10
+// holds up to twice as much. A caller 10 ms away can still send 1 MB/s.
+const receiveBufferBytes = 8 << 10
 
 // setReceiveBuffer sets the size of the kernel's buffers of accepted connections.
 func setReceiveBuffer(lis *net.TCPListener) {
--- a/internal/receiver/limits.go
+++ b/internal/receiver/limits.go
@@ -16,8 +16,8 @@
 	StallTime   time.Duration
 }
 
-// Process is what the limits of callers are derived from.
-type Process struct {
+// Resources are what the limits of callers are derived from.
+type Resources struct {
 	// MemoryMB is the memory of the process in MB, and MaxDescriptors the number of its descriptors;
 	// 0 if unknown.
 	MemoryMB, MaxDescriptors int
@@ -29,7 +29,7 @@
 const (
 	// memoryShare is the part of a process's memory that requests may take, and connShare the part for
 	// the connections themselves. The rest is for answers, routing state, garbage and kernel buffers.
-	memoryShare, connShare = 0.15, 0.2
+	memoryShare, connShare = 0.15, 0.25
 	// connBytes is what the goroutines and buffers of a connection take, beside the kernel's.
 	connBytes = 24 << 10
 	// defaultMemoryMB is assumed for a process that does not know its memory.
@@ -47,20 +47,20 @@
 	headroomShare = 0.125
 	// freeBytes of a connection are part of connBytes.
 	freeBytes = 4 << 10
-	// progressBytes is what a sender that has not stalled sends in the stall time: a 4 MB body at this
-	// pace takes two minutes.
+	// progressBytes is what a sender sends in the stall time at least if it has not stalled. A large body at
+	// a lower pace does not arrive in time.
 	progressBytes = 16 << 10
 	// evictedShare is how many connections more may be open while they are being closed.
 	evictedShare = 0.125
 )
 
 // NewLimits derives the limits that the settings leave open.
-func NewLimits(cfg configurator.Callers, p Process) Limits {
-	memory := p.MemoryMB
+func NewLimits(cfg configurator.Callers, res Resources) Limits {
+	memory := res.MemoryMB
 	if memory == 0 {
 		memory = defaultMemoryMB
 	}
-	descriptors := p.MaxDescriptors
+	descriptors := res.MaxDescriptors
 	if descriptors == 0 {
 		descriptors = ownDescriptors()
 	}
@@ -79,7 +79,7 @@
 		l.StallTime = configurator.Millis(cfg.StallMillis)
 	}
 	// One body of the largest size must fit into the part that is not reserved.
-	largest := int64(float64(p.MaxBodyBytes*p.Copies+2*maxPartBytes) / (1 - reservedShare))
+	largest := int64(float64(res.MaxBodyBytes*res.Copies+2*maxPartBytes) / (1 - reservedShare))
 	l.MemoryBytes, l.MaxConns = max(l.MemoryBytes, largest), max(l.MaxConns, minConns)
 	return l
 }
