Share the memory limit of the runtime, and plainer words

Both programs set the soft limit of the runtime by the same fraction; it is in internal/memorylimiter now. An unused method is removed, and the event and the page say "youngest" and "stalled" as they are decided.

--- a/cmd/flamingoledge/cmds/roles.go
+++ b/cmd/flamingoledge/cmds/roles.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"expvar"
 	"net"
-	"runtime/debug"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -19,6 +18,7 @@
 	"flamingoledge.org/flamingoledge/internal/endpointclient"
 	"flamingoledge.org/flamingoledge/internal/entryserver"
 	"flamingoledge.org/flamingoledge/internal/logger"
+	"flamingoledge.org/flamingoledge/internal/memorylimiter"
 	"flamingoledge.org/flamingoledge/internal/monitor"
 	"flamingoledge.org/flamingoledge/internal/platformclient"
 	"flamingoledge.org/flamingoledge/internal/sidecarserver"
@@ -49,10 +49,6 @@
 	}
 }
 
-// memoryLimitFraction is the fraction of the available memory that is set as the soft limit of the Go
-// runtime, above which the garbage collector runs more often. The rest is for kernel buffers and stacks.
-const memoryLimitFraction = 0.6
-
 func defaultCommon() configurator.Common {
 	return configurator.Common{LogLevel: "info", DrainTimeoutMillis: int(entryserver.DefaultDrainTimeout.Milliseconds())}
 }
@@ -152,9 +148,7 @@
 	if err != nil {
 		return err
 	}
-	if settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryMB) * (1 << 20)))
-	}
+	memorylimiter.Limit(settings.MemoryMB)
 	retries := entryserver.DefaultRetryConfig()
 	retries.Ratio = settings.RetryRatio
 	s, err := entryserver.New(entryserver.Config{
--- a/internal/configurator/callers.go
+++ b/internal/configurator/callers.go
@@ -18,14 +18,15 @@
 	// minCallersMB leaves room for a body of the largest size that a configuration may allow, with
 	// the copies that are made of it.
 	minCallersMB = 32
-	maxCallersMB = 1 << 20
+	// maxMemoryMB is more than any process has.
+	maxMemoryMB = 1 << 20
 	// maxDescriptors is more than any process can have.
 	maxDescriptors = 1 << 24
 )
 
 func (c Callers) check() error {
 	if c.MemoryMB != 0 {
-		if err := checkRange("callers.memory_mb", c.MemoryMB, minCallersMB, maxCallersMB); err != nil {
+		if err := checkRange("callers.memory_mb", c.MemoryMB, minCallersMB, maxMemoryMB); err != nil {
 			return err
 		}
 	}
--- a/internal/configurator/settings.go
+++ b/internal/configurator/settings.go
@@ -169,7 +169,7 @@
 		e.Common.Check(),
 		checkAddress("http_address", e.HTTPAddress, true),
 		checkAddress("advertise_http_address", e.AdvertiseHTTPAddress, false),
-		checkRange("memory_mb", e.MemoryMB, 0, maxCallersMB),
+		checkRange("memory_mb", e.MemoryMB, 0, maxMemoryMB),
 		checkRange("max_descriptors", e.MaxDescriptors, 0, maxDescriptors),
 		e.Callers.check(),
 		checkRange("max_body_bytes", e.MaxBodyBytes, 1, maxBodyBytes),
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -27,7 +27,7 @@
 	ProcessPaused = register(1010, "process_paused", zapcore.WarnLevel,
 		"The process did not run for some time, given in `pause`: its instance was suspended or had no processor time. Calls to it were not answered meanwhile, and what arrived is handled now.")
 	CallersEvicted = register(1011, "callers_evicted", zapcore.WarnLevel,
-		"Callers hold all the memory or connections that the process has for them, so some had to give way. The fields count them since the start: `stalled` had sent no more of their request, `youngest` had sent least of a large one, `idle` had no request, and `refused` are new connections that were closed at once. `memory_bytes` and `connections` are what all callers hold now. Logged once a second at most.")
+		"Callers hold all the memory or connections that the process has for them, so some had to give way. The fields count them since the start: `stalled` had stopped in a request, `youngest` had begun a large one last, `idle` had no request, and `refused` are new connections that were closed at once. `memory_bytes` and `connections` are what all callers hold now. Logged once a second at most.")
 	SettingsRefused = register(1008, "settings_refused", zapcore.ErrorLevel,
 		"The settings file was read again, after SIGHUP or because it had changed, and is invalid. The process continues with the settings in use, but would not start with this file.")
 )
--- a/internal/receiver/body.go
+++ b/internal/receiver/body.go
@@ -45,9 +45,6 @@
 // Parts returns the bytes of the body. They must not be changed.
 func (b *Body) Parts() [][]byte { return b.parts }
 
-// Len returns the number of bytes.
-func (b *Body) Len() int { return int(b.size) }
-
 // Bytes joins the parts of the body.
 func (b *Body) Bytes() []byte {
 	if len(b.parts) != 1 {
