Keep a reset that only the writer of a request saw

Cause: a socket reports a reset once. A long request is written while its answer is read, and if the write got the error, the read got the end of the connection, which is the end of a body that has neither a length nor chunks.

The end of the connection now counts only if the request had been written without an error, as the error is the reader's then, or if the socket is in CLOSE_WAIT, so that the server closed it in order. Otherwise the answer is lost: 502, or another endpoint where the request may be repeated.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -105,7 +105,7 @@
 type conn struct {
 	net.Conn
 	br      *bufio.Reader
-	limiter *limiter
+	reader  *socketReader
 	address string
 	expires time.Time
 }
@@ -118,6 +118,7 @@
 		return nil, &NotSentError{Address: r.Address, Cause: err}
 	}
 	resp := &Response{pool: p, conn: c, requestWritten: make(chan struct{})}
+	c.reader.requestWritten = resp.requestWritten
 	resp.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if r.Delivery != nil {
 		r.Delivery.start(c.Conn, resp.requestWritten)
@@ -151,28 +152,8 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &limiter{r: nc}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(l, readBufferBytes), limiter: l, address: r.Address}, nil
-}
-
-// limiter is a reader that fails with a HeadTooLargeError while a limit is set and used up.
-type limiter struct {
-	r       io.Reader
-	limited bool
-	left    int
-}
-
-// Read implements io.Reader.
-func (l *limiter) Read(b []byte) (n int, err error) {
-	if !l.limited {
-		return l.r.Read(b)
-	}
-	if l.left == 0 {
-		return 0, &HeadTooLargeError{LimitBytes: maxHeadBytes}
-	}
-	n, err = l.r.Read(b[:min(len(b), l.left)])
-	l.left -= n
-	return n, err
+	reader := &socketReader{conn: nc}
+	return &conn{Conn: nc, br: bufio.NewReaderSize(reader, readBufferBytes), reader: reader, address: r.Address}, nil
 }
 
 // setTCPUserTimeout bounds how long a broken connection goes unnoticed while sent
@@ -298,14 +279,7 @@
 	return nil
 }
 
-func (resp *Response) isRequestWritten() bool {
-	select {
-	case <-resp.requestWritten:
-		return true
-	default:
-		return false
-	}
-}
+func (resp *Response) isRequestWritten() bool { return isClosed(resp.requestWritten) }
 
 // readMatchingHead reads response headers until they belong to the request. It skips
 // informational responses and a bounded number of responses to other requests.
@@ -335,9 +309,9 @@
 // readHead reads the headers of the next response that is not informational. Their size is
 // bounded together with that of the informational responses before it.
 func (resp *Response) readHead(r Request) (err error) {
-	l := resp.conn.limiter
-	l.limited, l.left = true, maxHeadBytes
-	defer func() { l.limited = false }()
+	sr := resp.conn.reader
+	sr.limited, sr.left = true, maxHeadBytes
+	defer func() { sr.limited = false }()
 	for {
 		var start []byte
 		if start, err = resp.conn.br.Peek(len(protocolName)); err != nil {
