Check the heads of answers before they are parsed

Cause: http.ReadResponse accepts what RFC 9110 and RFC 9112 do not: any three digits as a status, of which those below 200 counted as informational, blanks in names, LF alone, folded lines, a length beside chunks, chunks in HTTP/1.0. Trailers are read as leniently.

internal/validator checks each line of a head before the library parses it, with the names and values of golang.org/x/net/http/httpguts (already in go.sum), and that one way tells the end of the body. A head that fails the check is an invalid response: 502, or another endpoint where the request may be repeated. Trailers are checked in the same way and dropped.

--- a/internal/exchanger/errors.go
+++ b/internal/exchanger/errors.go
@@ -57,8 +57,6 @@
 	return fmt.Sprintf("the head has more than %d bytes", e.LimitBytes)
 }
 
-var errNotHTTP = errors.New("not HTTP")
-
 // classifyReadError returns an InvalidResponseError for what was read and could not be
 // parsed, and the error itself if the connection failed or ended.
 func classifyReadError(err error) error {
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +20,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"flamingoledge.org/flamingoledge/internal/validator"
 )
 
 const (
@@ -88,6 +91,7 @@
 	pool     *Pool
 	conn     *conn
 	httpResp *http.Response
+	body     io.Reader
 	// stop ends the watch on the context of the exchange.
 	stop func() bool
 	// requestWritten is closed once the complete request has been written.
@@ -299,7 +303,7 @@
 		if !resp.IsFramed() {
 			return ErrForeignResponse
 		}
-		if _, err := io.CopyN(io.Discard, resp.httpResp.Body, maxForeignBodyBytes); !errors.Is(err, io.EOF) {
+		if _, err := io.CopyN(io.Discard, resp.body, maxForeignBodyBytes); !errors.Is(err, io.EOF) {
 			return ErrForeignResponse
 		}
 	}
@@ -309,29 +313,27 @@
 // readHead reads the headers of the next response that is not informational. Their size is
 // bounded together with that of the informational responses before it.
 func (resp *Response) readHead(r Request) (err error) {
-	sr := resp.conn.reader
-	sr.limited, sr.left = true, maxHeadBytes
-	defer func() { sr.limited = false }()
+	defer resp.conn.reader.limit(maxHeadBytes)()
 	for {
-		var start []byte
-		if start, err = resp.conn.br.Peek(len(protocolName)); err != nil {
+		// http.ReadResponse accepts heads that are none.
+		if _, err = resp.conn.scan(&validator.Head{}); err != nil {
 			return err
 		}
-		if string(start) != protocolName {
-			// The end of the line might never come.
-			return errNotHTTP
-		}
 		//nolint:bodyclose // The response owns the connection; Close and abort close it.
-		resp.httpResp, err = http.ReadResponse(resp.conn.br, &http.Request{Method: r.Method})
-		if err != nil || resp.httpResp.StatusCode >= http.StatusOK {
+		if resp.httpResp, err = http.ReadResponse(resp.conn.br, &http.Request{Method: r.Method}); err != nil {
 			return err
 		}
+		if resp.httpResp.StatusCode >= http.StatusOK {
+			break
+		}
 	}
+	resp.body = resp.httpResp.Body
+	if resp.body != http.NoBody && len(resp.httpResp.TransferEncoding) > 0 {
+		resp.body = &chunkedReader{conn: resp.conn, chunks: httputil.NewChunkedReader(resp.conn.br)}
+	}
+	return nil
 }
 
-// protocolName is the start of each response.
-const protocolName = "HTTP/"
-
 // IsFramed reports whether the body is delimited by a length or by chunks
 // rather than by the end of the connection.
 func (resp *Response) IsFramed() bool {
@@ -345,7 +347,7 @@
 		// A socket reports a reset once and then the end of the connection.
 		return 0, resp.readErr
 	}
-	n, err := resp.httpResp.Body.Read(b)
+	n, err := resp.body.Read(b)
 	switch {
 	case errors.Is(err, io.EOF):
 		resp.bodyComplete = true
@@ -364,7 +366,7 @@
 	}
 	resp.closed = true
 	stopped := resp.stop()
-	if !stopped || !resp.bodyComplete || !resp.reusable || resp.httpResp.Close || !resp.isRequestWritten() || resp.conn.br.Buffered() > 0 {
+	if !stopped || !resp.bodyComplete || !resp.reusable || resp.httpResp.Close || !resp.isRequestWritten() || resp.conn.hasBuffered() {
 		_ = resp.conn.Close()
 		return
 	}
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -141,6 +141,19 @@
 			},
 			conns: 2,
 		},
+		"chunked body without the line after the last chunk": {
+			serve: func(conn net.Conn, _ int, id string) bool {
+				write(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n")
+				return false
+			},
+			conns: 2,
+		},
+		"trailer": {
+			serve: func(conn net.Conn, _ int, id string) bool {
+				return write(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n"+id+"\r\n0\r\nA: x\r\n\r\n")
+			},
+			want: [2]string{"a", "b"}, conns: 1,
+		},
 		"not HTTP": {
 			serve: func(conn net.Conn, _ int, _ string) bool { return write(conn, "nonsense\r\n\r\n") },
 			conns: 2,
--- a/internal/exchanger/socket_reader.go
+++ b/internal/exchanger/socket_reader.go
@@ -42,6 +42,12 @@
 	return n, err
 }
 
+// limit bounds the bytes that are read until the returned function is called.
+func (r *socketReader) limit(n int) (end func()) {
+	r.limited, r.left = true, n
+	return func() { r.limited = false }
+}
+
 // isClosedInOrder reports whether the end of the connection is its server's. A socket reports a
 // reset once: if a concurrent write gets the error, the reader sees the end of the connection
 // instead. Only the state of the socket tells them apart then.
