Believe a refusal only if nothing contradicts it

Callers could be told "not run, try again", or a second endpoint ran the request, though an endpoint had run it (REFUSED, TWICE): where it sent a refusal with the request's ID and then the answer, a refusal cut in its body, and "not run" beside a status 200, 302, 500 or 504, which with a signature passed as a success. An answer with two IDs or two signatures counted by the first one, and requests without an ID shared connections, where nothing tells a late answer of another request apart.

Cause: "not run" was believed from the head of an answer alone, whatever its status and whatever followed. A refusal is now read to its end; it counts only with a status that may refuse, whole, and if nothing more has arrived. Otherwise the outcome is unknown. Requests without an ID get their own connections.

TestEarlierRefusalOnKeptConnection held before, as did refusals of other requests: an earlier refusal, with its ID or without, is skipped.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -194,21 +194,28 @@
 // hasNoUnreadData reports whether nothing is waiting to be read: neither unexpected
 // bytes nor the end of the connection.
 func (c *conn) hasNoUnreadData() bool {
+	_, err := c.peekSocket()
+	return c.br.Buffered() == 0 && errors.Is(err, unix.EAGAIN)
+}
+
+// peekSocket returns how many bytes can be read from the socket, of which it counts one at most; 0
+// at the end of the connection. The error is EAGAIN if there is nothing to read.
+func (c *conn) peekSocket() (n int, err error) {
 	sc, ok := c.Conn.(syscall.Conn)
-	if !ok || c.br.Buffered() > 0 {
-		return false
+	if !ok {
+		return 0, syscall.ENOTSUP
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	noData := false
-	err = raw.Control(func(fd uintptr) {
+	if cerr := raw.Control(func(fd uintptr) {
 		var buf [1]byte
-		_, _, rerr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = errors.Is(rerr, unix.EAGAIN)
-	})
-	return err == nil && noData
+		n, _, err = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	}); cerr != nil {
+		return 0, cerr
+	}
+	return max(n, 0), err
 }
 
 // Prune closes the idle connections that have expired.
@@ -358,6 +365,12 @@
 	return n, resp.readErr
 }
 
+// IsFollowed reports whether the server has sent more after the complete body.
+func (resp *Response) IsFollowed() bool {
+	n, _ := resp.conn.peekSocket()
+	return n > 0 || resp.conn.br.Buffered() > 0
+}
+
 // Close ends the exchange. The connection is reused only if the complete body was
 // read and the complete request was written.
 func (resp *Response) Close() {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -126,7 +126,7 @@
 		Host:            c.request.Host,
 		Header:          f.cfg.Translator.Headers(c.request.Header, info),
 		Body:            c.body.Parts(),
-		NewConn:         !c.route.IsRetryable(),
+		NewConn:         !c.route.IsRetryable() || c.RequestID == "",
 		MatchesResponse: func(h http.Header) bool { return f.cfg.Translator.ResponseInfo(0, h).RequestID == c.RequestID },
 		Delivery:        delivery,
 	})
@@ -165,12 +165,10 @@
 	f.recordAdvice(a, info)
 	status := a.answer.Status
 	switch {
-	case info.NotRun && status >= http.StatusBadRequest:
-		result := balancer.ResultRefused
-		if status == http.StatusMisdirectedRequest {
-			result = balancer.ResultMisdirected
-		}
-		return &failure{result: result, sent: true, cause: fmt.Errorf("endpoint refused with status %d", status)}
+	case info.NotRun && isRefusal(status):
+		return f.readRefusal(c, a)
+	case info.NotRun:
+		return f.interruptedAnswer(c, a, invalidAnswer("status %d of a request that was not run", status))
 	case impliesNotRun(status):
 		// Callers would take the status as a guarantee that the request has not run,
 		// but the endpoint does not confirm that.
@@ -188,6 +186,28 @@
 	}
 }
 
+// readRefusal reads an answer by which the endpoint guarantees that it did not run the request. The
+// guarantee counts only if the answer is whole and nothing follows it.
+func (f *Forwarder) readRefusal(c *call, a *attempt) *failure {
+	if err := a.body.readAll(a.answer, &f.answerMemory); err != nil {
+		return f.interruptedAnswer(c, a, err)
+	}
+	status := a.answer.Status
+	if a.answer.IsFollowed() {
+		return f.interruptedAnswer(c, a, invalidAnswer("bytes after a refusal with status %d", status))
+	}
+	result := balancer.ResultRefused
+	if status == http.StatusMisdirectedRequest {
+		result = balancer.ResultMisdirected
+	}
+	return &failure{result: result, sent: true, cause: fmt.Errorf("endpoint refused with status %d", status)}
+}
+
+// invalidAnswer returns the error of an answer that can't be the endpoint's answer to the request.
+func invalidAnswer(format string, args ...any) error {
+	return &exchanger.InvalidResponseError{Cause: fmt.Errorf(format, args...)}
+}
+
 // readFirstEvents reads the first events of a streamed answer.
 func (f *Forwarder) readFirstEvents(c *call, a *attempt) *failure {
 	a.events = newEventReader(a.answer, c.LastEventID)
@@ -234,6 +254,11 @@
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
 
+// isRefusal reports whether a status may tell that the request has not run.
+func isRefusal(status int) bool {
+	return impliesNotRun(status) || status >= http.StatusBadRequest && status < http.StatusInternalServerError
+}
+
 // impliesNotRun reports whether callers take a status as a guarantee that the request
 // has not run.
 func impliesNotRun(status int) bool {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -60,8 +60,12 @@
 func (testTranslator) ResponseInfo(_ int, h http.Header) forwarder.ResponseInfo {
 	backoff, _ := time.ParseDuration(h.Get("Backoff"))
 	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64)
+	id := h.Get("Id")
+	if len(h.Values("Id")) > 1 {
+		id = ""
+	}
 	return forwarder.ResponseInfo{
-		RequestID: h.Get("Id"), Signed: h.Get("Stamp") != "", NotRun: h.Get("Not-Run") != "",
+		RequestID: id, Signed: h.Get("Stamp") != "", NotRun: h.Get("Not-Run") != "",
 		Advice: advisor.Answer{Leaving: h.Get("Leaving") != "", Backoff: backoff, Limit: limit}, AdviceProblem: h.Get("Unreadable"),
 	}
 }
