Check what endpoints, origin and store answer to calls

An order with the response "HTTP/1.1 000" counted as accepted, a chunk as staged, a record as appended: fasthttp takes status 0 for 200, and blanks in field names. A late copy of an earlier response on a kept connection counted for the next call, and an order answered 500, 504 or 302 as refused, though the endpoint may have accepted it. A chunk that counts as staged and is not would be loaded as it was before (WHOLE).

The state of sockets is read in internal/inspector, which the exchanger uses too.

--- a/internal/exchanger/delivery.go
+++ b/internal/exchanger/delivery.go
@@ -3,9 +3,8 @@
 import (
 	"net"
 	"sync"
-	"syscall"
 
-	"golang.org/x/sys/unix"
+	"flamingoledge.org/flamingoledge/internal/inspector"
 )
 
 // Delivery tells whether a request has arrived at the server's host, as far as the
@@ -37,7 +36,7 @@
 	default:
 		return false
 	}
-	n, err := unacknowledgedBytes(d.conn)
+	n, err := inspector.Unacknowledged(d.conn)
 	d.delivered = err == nil && n == 0
 	return d.delivered
 }
@@ -51,20 +50,3 @@
 		_ = c.SetLinger(0)
 	}
 }
-
-// unacknowledgedBytes returns the number of bytes that were written to a connection
-// and not acknowledged by the peer.
-func unacknowledgedBytes(c net.Conn) (n int, err error) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return 0, syscall.ENOTSUP
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	if cerr := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); cerr != nil {
-		return 0, cerr
-	}
-	return n, err
-}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -21,6 +21,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"flamingoledge.org/flamingoledge/internal/inspector"
 	"flamingoledge.org/flamingoledge/internal/validator"
 )
 
@@ -87,6 +88,9 @@
 	Header http.Header
 	// Length is the announced length of the body; -1 if none is.
 	Length int64
+	// IsConnReused is set if the connection was used before, so that a late response to an earlier
+	// request could arrive on it.
+	IsConnReused bool
 
 	pool     *Pool
 	conn     *conn
@@ -121,7 +125,7 @@
 	if err != nil {
 		return nil, &NotSentError{Address: r.Address, Cause: err}
 	}
-	resp := &Response{pool: p, conn: c, requestWritten: make(chan struct{})}
+	resp := &Response{pool: p, conn: c, requestWritten: make(chan struct{}), IsConnReused: !c.expires.IsZero()}
 	c.reader.requestWritten = resp.requestWritten
 	resp.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if r.Delivery != nil {
@@ -194,30 +198,10 @@
 // hasNoUnreadData reports whether nothing is waiting to be read: neither unexpected
 // bytes nor the end of the connection.
 func (c *conn) hasNoUnreadData() bool {
-	_, err := c.peekSocket()
+	_, err := inspector.Unread(c.Conn)
 	return c.br.Buffered() == 0 && errors.Is(err, unix.EAGAIN)
 }
 
-// peekSocket returns how many bytes can be read from the socket, of which it counts one at most; 0
-// at the end of the connection. The error is EAGAIN if there is nothing to read.
-func (c *conn) peekSocket() (n int, err error) {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, syscall.ENOTSUP
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	if cerr := raw.Control(func(fd uintptr) {
-		var buf [1]byte
-		n, _, err = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	}); cerr != nil {
-		return 0, cerr
-	}
-	return max(n, 0), err
-}
-
 // Prune closes the idle connections that have expired.
 func (p *Pool) Prune(now time.Time) {
 	p.mu.Lock()
@@ -237,6 +221,18 @@
 	}
 }
 
+// Close closes the idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conns := range p.idle {
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}
+	clear(p.idle)
+}
+
 // put makes a connection available for reuse for at most keepAlive.
 func (p *Pool) put(c *conn, keepAlive time.Duration) {
 	c.expires = time.Now().Add(min(keepAlive, p.cfg.IdleTimeout))
@@ -367,7 +363,7 @@
 
 // IsFollowed reports whether the server has sent more after the complete body.
 func (resp *Response) IsFollowed() bool {
-	n, _ := resp.conn.peekSocket()
+	n, _ := inspector.Unread(resp.conn.Conn)
 	return n > 0 || resp.conn.br.Buffered() > 0
 }
 
--- a/internal/exchanger/socket_reader.go
+++ b/internal/exchanger/socket_reader.go
@@ -5,9 +5,8 @@
 	"fmt"
 	"io"
 	"net"
-	"syscall"
 
-	"golang.org/x/sys/unix"
+	"flamingoledge.org/flamingoledge/internal/inspector"
 )
 
 // errConnAborted is returned instead of io.EOF by a connection that its server did not close in
@@ -52,32 +51,7 @@
 // reset once: if a concurrent write gets the error, the reader sees the end of the connection
 // instead. Only the state of the socket tells them apart then.
 func (r *socketReader) isClosedInOrder() bool {
-	if isClosed(r.requestWritten) {
-		return true
-	}
-	state, err := tcpState(r.conn)
-	return err == nil && state == unix.BPF_TCP_CLOSE_WAIT
-}
-
-// tcpState returns the state of a TCP connection.
-func tcpState(c net.Conn) (state uint8, err error) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return 0, syscall.ENOTSUP
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	if cerr := raw.Control(func(fd uintptr) {
-		var info *unix.TCPInfo
-		if info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			state = info.State
-		}
-	}); cerr != nil {
-		return 0, cerr
-	}
-	return state, err
+	return isClosed(r.requestWritten) || inspector.IsClosedByPeer(r.conn)
 }
 
 func isClosed(c <-chan struct{}) bool {
--- a/internal/platformclient/client.go
+++ b/internal/platformclient/client.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"flamingoledge.org/flamingoledge/internal/validator"
 	"flamingoledge.org/flamingoledge/pkg/provider"
 )
 
@@ -64,7 +65,7 @@
 	}
 	return &Client{cfg: cfg, http: &fasthttp.HostClient{
 		Addr:                cfg.Address,
-		Dial:                cfg.Dial,
+		Dial:                cfg.dialValidated,
 		MaxConns:            maxConnections,
 		MaxIdleConnDuration: maxConnectionIdle,
 		MaxResponseBodySize: maxResponseBytes,
@@ -75,6 +76,19 @@
 	}}
 }
 
+// dialValidated opens a connection on which the heads of responses are checked.
+func (c Config) dialValidated(address string) (net.Conn, error) {
+	dial := c.Dial
+	if dial == nil {
+		dial = fasthttp.Dial
+	}
+	conn, err := dial(address)
+	if err != nil {
+		return nil, err
+	}
+	return validator.NewConn(conn), nil
+}
+
 // AppendRequest is the body of a request to append records.
 type AppendRequest struct {
 	Records []json.RawMessage `json:"records"`
