Read answers of the own interface strictly

On the own interface, an answer with status 000 or a blank in a field's name was passed on as an answer, and one with two attempt IDs. "Not run" counted beside status 200 and 500, in such a head, cut in its body, or before the answer itself.

Cause: fasthttp's parser, as in the platform's clients, and a refusal that was believed by its head. Requests now go through the exchanger, as on the platform, in place of a second pool of connections; refusals count as there.

4 of 14 cases of TestMalformedAnswer, 7 of 11 of TestDoubtfulRefusal and TestStatusOfCallsIsChecked failed before. Cut heads, a length beside chunks and a stream that is reset during an upload held before and hold.

--- a/internal/endpointclient/client.go
+++ b/internal/endpointclient/client.go
@@ -8,33 +8,46 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"flamingoledge.org/flamingoledge/internal/exchanger"
+	"flamingoledge.org/flamingoledge/internal/validator"
 )
 
 const (
 	// maxResponseBytes bounds the response of a plain service.
-	maxResponseBytes = 8 << 20
-	maxFrameBytes    = 1 << 20
-	stateTimeout     = time.Second
+	maxResponseBytes   = 8 << 20
+	maxFrameBytes      = 1 << 20
+	stateTimeout       = time.Second
+	connectTimeout     = time.Second
+	maxIdleConnections = 64
+	idleTimeout        = 3 * time.Second
+	// tcpUserTimeout is longer than any pause of a sound endpoint's host.
+	tcpUserTimeout = 30 * time.Second
 )
 
 // Client is a client of one endpoint. It is safe for concurrent use.
 type Client struct {
 	address string
-	pool    pool
+	pool    *exchanger.Pool
 }
 
 // New returns a client of the endpoint at address.
 func New(address string) *Client {
-	return &Client{address: address, pool: pool{address: address}}
+	return &Client{address: address, pool: exchanger.New(exchanger.Config{
+		DialTimeout: connectTimeout, IdleTimeout: idleTimeout, MaxIdleConnsPerAddress: maxIdleConnections, TCPUserTimeout: tcpUserTimeout,
+	})}
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.pool.close() }
+func (c *Client) Close() { c.pool.Close() }
 
 // Request is one attempt for the endpoint to run.
 type Request struct {
@@ -66,7 +79,7 @@
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	var body []byte
-	if _, body, err = c.roundTrip(ctx, fasthttp.MethodGet, PathState, nil); err != nil {
+	if _, body, err = c.roundTrip(ctx, http.MethodGet, PathState, nil); err != nil {
 		return State{}, err
 	}
 	if err = json.Unmarshal(body, &s); err != nil {
@@ -83,10 +96,10 @@
 		return eris.Wrap(err, "encode order")
 	}
 	var status int
-	if status, _, err = c.roundTrip(ctx, fasthttp.MethodPost, PathOrders, body); err != nil {
+	if status, _, err = c.roundTrip(ctx, http.MethodPost, PathOrders, body); err != nil {
 		return err
 	}
-	if status != fasthttp.StatusOK {
+	if status != http.StatusOK {
 		return &OrderError{Order: o, Status: status}
 	}
 	return nil
@@ -94,34 +107,37 @@
 
 // Cancel asks the endpoint to stop an attempt.
 func (c *Client) Cancel(ctx context.Context, attemptID string) error {
-	_, _, err := c.roundTrip(ctx, fasthttp.MethodPost, PathCancel+"?attempt="+attemptID, nil)
+	_, _, err := c.roundTrip(ctx, http.MethodPost, PathCancel+"?attempt="+attemptID, nil)
 	return err
 }
 
 // PutWeights streams the weights of a version to the endpoint.
 func (c *Client) PutWeights(ctx context.Context, weightsDigest string, size int64, weights io.WriterTo) error {
-	conn, err := c.pool.get(ctx, time.Now(), true)
+	d := net.Dialer{Timeout: connectTimeout}
+	nc, err := d.DialContext(ctx, "tcp", c.address)
 	if err != nil {
-		return err
+		return eris.Wrapf(err, "dial endpoint %s", c.address)
 	}
+	conn := validator.NewConn(nc)
 	defer func() { _ = conn.Close() }()
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	w := bufio.NewWriter(conn)
 	head := fmt.Sprintf("PUT %s%s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", PathWeights, weightsDigest, c.address, size)
-	if _, err = conn.w.WriteString(head); err != nil {
+	if _, err = w.WriteString(head); err != nil {
 		return eris.Wrap(err, "put weights: write request header")
 	}
-	if _, err = weights.WriteTo(conn.w); err != nil {
+	if _, err = weights.WriteTo(w); err != nil {
 		return eris.Wrap(err, "put weights: write body")
 	}
-	if err = conn.w.Flush(); err != nil {
+	if err = w.Flush(); err != nil {
 		return eris.Wrap(err, "put weights: flush request")
 	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	if err = resp.Read(conn.r); err != nil {
+	if err = resp.Read(bufio.NewReader(conn)); err != nil {
 		return eris.Wrap(err, "put weights: read response")
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
+	if resp.StatusCode() != http.StatusOK {
 		return eris.Errorf("put weights: status %d", resp.StatusCode())
 	}
 	return nil
@@ -130,159 +146,128 @@
 // roundTrip sends one request over a new connection and returns status and body of
 // the response.
 func (c *Client) roundTrip(ctx context.Context, method, path string, body []byte) (status int, respBody []byte, err error) {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + c.address + path)
-	req.SetBodyRaw(body)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	var conn *connection
-	if conn, err = c.pool.get(ctx, time.Now(), true); err != nil {
-		return 0, nil, err
-	}
-	defer func() { _ = conn.Close() }()
-	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
-	if err = writeRequest(conn, req); err != nil {
+	resp, err := c.pool.Exchange(ctx, exchanger.Request{Address: c.address, Method: method, Target: path, Host: c.address, Body: [][]byte{body}, NewConn: true})
+	if err != nil {
 		return 0, nil, eris.Wrapf(err, "%s %s", method, path)
 	}
-	if err = resp.ReadLimitBody(conn.r, maxResponseBytes); err != nil {
-		return 0, nil, eris.Wrapf(err, "%s %s", method, path)
+	defer resp.Close()
+	respBody, err = io.ReadAll(io.LimitReader(resp, maxResponseBytes+1))
+	if err == nil && len(respBody) > maxResponseBytes {
+		err = eris.Errorf("response has more than %d bytes", maxResponseBytes)
 	}
-	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
-}
-
-func writeRequest(conn *connection, req *fasthttp.Request) error {
-	if err := req.Write(conn.w); err != nil {
-		return err
+	if err != nil {
+		return 0, nil, eris.Wrapf(err, "%s %s", method, path)
 	}
-	return conn.w.Flush()
+	return resp.Status, respBody, nil
 }
 
 // Run runs a request and passes each piece of its response to emit as it arrives.
 // The error is a *NotRunError, *UnknownOutcomeError or *ResponseMismatchError, or nil when the
 // complete response was passed on.
 func (c *Client) Run(ctx context.Context, r Request, emit func(piece []byte) error) (res RunResult, err error) {
-	// A request that must not run twice is never sent over a reused connection: if
-	// that connection was lost, it would be unknown whether the request arrived.
-	fresh := r.IdempotencyKey != ""
-	var conn *connection
-	if conn, err = c.pool.get(ctx, time.Now(), fresh); err != nil {
-		return RunResult{}, &NotRunError{Reason: "endpoint unreachable", Cause: err}
-	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	if res, err = c.runOn(conn, r, emit); err != nil || !stop() {
-		_ = conn.Close()
-		return res, err
-	}
-	c.pool.put(time.Now(), conn)
-	return res, nil
-}
-
-func (c *Client) runOn(conn *connection, r Request, emit func([]byte) error) (res RunResult, err error) {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	c.fillRequest(req, r)
-	if err = writeRequest(conn, req); err != nil {
-		return RunResult{}, &UnknownOutcomeError{Reason: "request not sent whole", Cause: err}
-	}
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	resp.StreamBody = true
-	if err = resp.ReadLimitBody(conn.r, maxResponseBytes); err != nil {
+	resp, err := c.pool.Exchange(ctx, c.exchangerRequest(r))
+	if err != nil {
+		var notSent *exchanger.NotSentError
+		if errors.As(err, &notSent) {
+			return RunResult{}, &NotRunError{Reason: "endpoint unreachable", Cause: err}
+		}
 		return RunResult{}, &UnknownOutcomeError{Reason: "no answer", Cause: err}
 	}
-	defer func() {
-		if err != nil {
-			// CloseBodyStream on an open connection would read the rest of the body.
-			_ = conn.Close()
-		}
-		_ = resp.CloseBodyStream()
-	}()
-	if string(resp.Header.Peek(HeaderRunState)) == RunStateNotRun {
-		return RunResult{}, refusalError(conn, resp, r)
+	defer resp.Close()
+	if resp.Header.Get(HeaderRunState) == RunStateNotRun {
+		return RunResult{}, refusalError(resp, r)
 	}
-	res.Status = resp.StatusCode()
-	if res.Status != fasthttp.StatusOK {
+	res.Status = resp.Status
+	if res.Status != http.StatusOK {
 		return res, &UnknownOutcomeError{Reason: "endpoint answered with status " + strconv.Itoa(res.Status)}
 	}
-	if err = checkIdentity(resp, r); err != nil {
+	if err = checkIdentity(resp.Header, r); err != nil {
 		return res, err
 	}
 	if r.Stream {
-		res.Frames, res.End, err = readFrames(resp.BodyStream(), r, emit)
+		res.Frames, res.End, err = readFrames(resp, r, emit)
 	} else {
 		err = readBody(resp, emit)
 	}
 	return res, err
 }
 
-func (c *Client) fillRequest(req *fasthttp.Request, r Request) {
+func (c *Client) exchangerRequest(r Request) exchanger.Request {
 	path := PathCall
 	if r.Stream {
 		path = PathGenerate
 	}
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("http://" + c.address + path)
-	req.Header.Set(HeaderRequestID, r.RequestID)
-	req.Header.Set(HeaderAttemptID, r.AttemptID)
-	setIfPresent(req, HeaderIdempotencyKey, r.IdempotencyKey)
-	setIfPresent(req, HeaderVersionDigest, r.VersionDigest)
-	setIfPresent(req, HeaderAdapter, r.Adapter)
+	h := http.Header{}
+	h.Set(HeaderRequestID, r.RequestID)
+	h.Set(HeaderAttemptID, r.AttemptID)
+	setIfPresent(h, HeaderIdempotencyKey, r.IdempotencyKey)
+	setIfPresent(h, HeaderVersionDigest, r.VersionDigest)
+	setIfPresent(h, HeaderAdapter, r.Adapter)
 	if r.ResumeFrom > 0 {
-		req.Header.Set(HeaderResumeFrom, strconv.Itoa(r.ResumeFrom))
+		h.Set(HeaderResumeFrom, strconv.Itoa(r.ResumeFrom))
+	}
+	h.Set(HeaderPriority, strconv.Itoa(r.Priority))
+	return exchanger.Request{
+		Address: c.address, Method: http.MethodPost, Target: path, Host: c.address, Header: h, Body: [][]byte{r.Body},
+		// A request that must not run twice is never sent over a reused connection: if
+		// that connection was lost, it would be unknown whether the request arrived.
+		NewConn: r.IdempotencyKey != "",
 	}
-	req.Header.Set(HeaderPriority, strconv.Itoa(r.Priority))
-	req.SetBodyRaw(r.Body)
 }
 
-func setIfPresent(req *fasthttp.Request, name, value string) {
+func setIfPresent(h http.Header, name, value string) {
 	if value != "" {
-		req.Header.Set(name, value)
+		h.Set(name, value)
 	}
 }
 
 // refusalError returns the error of a refused request. On a connection that has been used, a
 // refusal has to name the attempt: without that, it may be a late answer to an earlier request,
-// while the endpoint runs this one.
-func refusalError(conn *connection, resp *fasthttp.Response, r Request) error {
-	attempt := string(resp.Header.Peek(HeaderAttemptID))
-	if attempt != r.AttemptID && (attempt != "" || conn.reused) {
+// while the endpoint runs this one. A refusal counts only with the status of a failure, whole, and
+// if nothing more has arrived.
+func refusalError(resp *exchanger.Response, r Request) error {
+	attempt := strings.Join(resp.Header.Values(HeaderAttemptID), ",")
+	if attempt != r.AttemptID && (attempt != "" || resp.IsConnReused) {
 		return &ResponseMismatchError{Field: HeaderAttemptID, Got: attempt, Want: r.AttemptID}
 	}
-	return &NotRunError{Reason: "endpoint refused with status " + strconv.Itoa(resp.StatusCode())}
+	if resp.Status < http.StatusBadRequest || resp.Status >= http.StatusInternalServerError && resp.Status != http.StatusServiceUnavailable {
+		return &UnknownOutcomeError{Reason: "refused with status " + strconv.Itoa(resp.Status)}
+	}
+	if n, err := io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes)); err != nil || n == maxResponseBytes {
+		return &UnknownOutcomeError{Reason: "refusal not whole", Cause: err}
+	}
+	if resp.IsFollowed() {
+		return &UnknownOutcomeError{Reason: "bytes after a refusal"}
+	}
+	return &NotRunError{Reason: "endpoint refused with status " + strconv.Itoa(resp.Status)}
 }
 
 // checkIdentity checks that a response belongs to the request and its version.
-func checkIdentity(resp *fasthttp.Response, r Request) error {
+func checkIdentity(h http.Header, r Request) error {
 	for _, check := range []struct{ name, want string }{
 		{HeaderRequestID, r.RequestID},
 		{HeaderAttemptID, r.AttemptID},
 		{HeaderVersionDigest, r.VersionDigest},
 	} {
-		if got := string(resp.Header.Peek(check.name)); got != check.want {
+		if got := strings.Join(h.Values(check.name), ","); got != check.want {
 			return &ResponseMismatchError{Field: check.name, Got: got, Want: check.want}
 		}
 	}
 	return nil
 }
 
-// unframedLength is the content length of a response that ends with its connection.
-const unframedLength = -2
-
-// readBody passes on the body of a plain service's response, after checking its
-// length. A response that ends with its connection may have been cut off.
-func readBody(resp *fasthttp.Response, emit func([]byte) error) error {
-	want := resp.Header.ContentLength()
-	if want == unframedLength {
+// readBody passes on the body of a plain service's response. A response that ends with its
+// connection may have been cut off.
+func readBody(resp *exchanger.Response, emit func([]byte) error) error {
+	if !resp.IsFramed() {
 		return &UnknownOutcomeError{Reason: "answer has neither a length nor chunks"}
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxResponseBytes+1))
+	data, err := io.ReadAll(io.LimitReader(resp, maxResponseBytes+1))
 	if err != nil {
 		return &UnknownOutcomeError{Reason: "answer not whole", Cause: err}
 	}
-	if len(data) > maxResponseBytes || (want >= 0 && len(data) != want) {
-		return &UnknownOutcomeError{Reason: fmt.Sprintf("answer has %d bytes, %d were announced", len(data), want)}
+	if len(data) > maxResponseBytes {
+		return &UnknownOutcomeError{Reason: fmt.Sprintf("answer has more than %d bytes", maxResponseBytes)}
 	}
 	if err = emit(data); err != nil {
 		return &UnknownOutcomeError{Reason: "caller gone", Cause: err}
