Report a started request that is then refused as unknown

An entry believed a sidecar's "not run" also after its reply that the request had started. No sidecar is known to send that.

--- a/internal/entryserver/attempt.go
+++ b/internal/entryserver/attempt.go
@@ -201,7 +201,12 @@
 		}
 		return nil, io.EOF
 	case messenger.Outcome_OUTCOME_NOT_RUN, messenger.Outcome_OUTCOME_RAN_ANSWER_LOST, messenger.Outcome_OUTCOME_UNKNOWN:
-		return nil, &attemptError{outcome: reply.GetOutcome(), reason: reply.GetReason(), owner: reply.GetOwner(), endpointFault: reply.GetStatus() != 0}
+		outcome := reply.GetOutcome()
+		if outcome == messenger.Outcome_OUTCOME_NOT_RUN && a.replies > 1 {
+			// The reply before this one said that the request has started.
+			outcome = messenger.Outcome_OUTCOME_UNKNOWN
+		}
+		return nil, &attemptError{outcome: outcome, reason: reply.GetReason(), owner: reply.GetOwner(), endpointFault: reply.GetStatus() != 0}
 	default:
 		return nil, answerLostError(eris.Errorf("reply with outcome %s", reply.GetOutcome()))
 	}
