Let only a resumption follow the events of a stream

Cause: any signed 2xx answer to a repeated request counted as a resumption, and any stream that a route allows to be resumed was resumed. Now a stream is repeated only if its last event has an ID, and goes on only with a 200 of the same media type whose first event has an ID after that one. An end without an event is that of a stream only if it is framed. Else the stream breaks off.

Failures, refusals and bare text from the second endpoint broke the stream off before and do so now.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -30,7 +30,7 @@
 	if f.isStopping() {
 		h.Set("Connection", "close")
 	}
-	c.headerSent = true
+	c.headerSent, c.mediaType = true, mediaType(a.answer.Header)
 	w.WriteHeader(a.answer.Status)
 }
 
@@ -94,6 +94,9 @@
 		return err
 	}
 	c.deliveredEvents += batch.count
+	if batch.count > 0 {
+		c.endsWithID = batch.endsWithID
+	}
 	if batch.lastID != "" {
 		c.LastEventID = batch.lastID
 	}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"flamingoledge.org/flamingoledge/internal/exchanger"
@@ -208,19 +209,36 @@
 	return &exchanger.InvalidResponseError{Cause: fmt.Errorf(format, args...)}
 }
 
-// readFirstEvents reads the first events of a streamed answer.
+// readFirstEvents reads the first events of a streamed answer. The end of a connection before them is
+// that of a stream only if the body is framed.
 func (f *Forwarder) readFirstEvents(c *call, a *attempt) *failure {
-	a.events = newEventReader(a.answer, c.LastEventID)
+	isResumption := c.deliveredEvents > 0
+	if isResumption && !c.isResumedBy(a.answer) {
+		return f.interruptedAnswer(c, a, invalidAnswer("status %d of type %q does not resume a stream", a.answer.Status, a.answer.Header.Get("Content-Type")))
+	}
+	a.events = newEventReader(a.answer, c.LastEventID, isResumption)
 	var err error
 	if a.firstEvents, err = a.events.next(); err != nil && !errors.Is(err, io.EOF) {
 		return f.interruptedAnswer(c, a, err)
 	}
-	if a.events.atEnd && a.firstEvents.count == 0 && c.LastEventID == "" && !a.answer.IsFramed() {
+	if a.events.atEnd && a.firstEvents.count == 0 && !a.answer.IsFramed() {
 		return f.interruptedAnswer(c, a, errNoFirstEvent)
 	}
 	return nil
 }
 
+// isResumedBy reports whether an answer can go on with the stream that the caller has a part of.
+func (c *call) isResumedBy(answer *exchanger.Response) bool {
+	mediaType := mediaType(answer.Header)
+	return answer.Status == http.StatusOK && (mediaType == "" || c.mediaType == "" || mediaType == c.mediaType)
+}
+
+// mediaType returns the media type of an answer without its parameters, in lower case.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // bufferAnswer reads an answer completely before it is forwarded. A safe request that
 // failed on the endpoint is retried if the retry budget allows it.
 func (f *Forwarder) bufferAnswer(c *call, a *attempt) *failure {
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -70,7 +70,11 @@
 	unknownOutcome error
 	// deliveredEvents counts the events that were sent to the caller.
 	deliveredEvents int
-	headerSent      bool
+	// endsWithID is set if the last of them has an ID, after which a stream can be resumed.
+	endsWithID bool
+	headerSent bool
+	// mediaType is the media type of the answer that was begun; empty if it has none.
+	mediaType string
 	// watched is the current attempt while it may be replaced by another one; nil if it may not.
 	watched *watchedAttempt
 }
@@ -237,6 +241,12 @@
 // isStream reports whether the answer is forwarded event by event.
 func (c *call) isStream() bool { return c.route.Kind == resolver.KindStreaming }
 
+// isRetryable reports whether the call may run once more. A stream of which the caller has a part may
+// only if an endpoint can tell after which event it has to go on.
+func (c *call) isRetryable() bool {
+	return c.route.IsRetryable() && (c.deliveredEvents == 0 || c.endsWithID)
+}
+
 // prompt returns the number of prompt tokens, or the service's usual number if the
 // caller did not send it.
 func (c *call) prompt() int {
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -14,8 +14,10 @@
 type events struct {
 	data  []byte
 	count int
-	// lastID is the ID of the last event that has one; empty if none has.
-	lastID string
+	// lastID is the ID of the last event that has one; empty if none has. endsWithID is set if that is
+	// the last event.
+	lastID     string
+	endsWithID bool
 }
 
 // eventReader splits a stream into complete events and skips those that the caller
@@ -26,8 +28,11 @@
 	// totalBytes counts the bytes that were read.
 	totalBytes int
 	// lastDelivered is the numeric ID of the last event passed on to the caller; -1 for
-	// none.
+	// none. lastID is the ID itself.
 	lastDelivered int64
+	lastID        string
+	// isResumption is set if the events follow those of another endpoint.
+	isResumption bool
 	// hasEvents is set once there was an event.
 	hasEvents bool
 	atEnd     bool
@@ -48,10 +53,13 @@
 	// the first event, as that of an endpoint which crashes does.
 	errNoFirstEvent = errors.New("the connection ended before the first event")
 	errNoEvent      = errors.New("the stream has something else than events")
+	// errNoResumption is returned if the first event of a resumption has no ID by which it follows the
+	// last one that the caller has.
+	errNoResumption = errors.New("the stream does not go on after the last event")
 )
 
-func newEventReader(r io.Reader, lastEvent string) *eventReader {
-	e := &eventReader{r: r, lastDelivered: -1}
+func newEventReader(r io.Reader, lastEvent string, isResumption bool) *eventReader {
+	e := &eventReader{r: r, lastDelivered: -1, lastID: lastEvent, isResumption: isResumption}
 	if n, err := strconv.ParseInt(lastEvent, 10, 64); err == nil {
 		e.lastDelivered = n
 	}
@@ -98,7 +106,9 @@
 		if len(rest) > 0 {
 			return events{}, errIncompleteEvent
 		}
-		batch.data = append(batch.data, e.pending...)
+		if e.hasEvents || !e.isResumption {
+			batch.data = append(batch.data, e.pending...)
+		}
 	}
 	e.atEnd = true
 	return batch, io.EOF
@@ -118,13 +128,18 @@
 		if number >= 0 && number <= e.lastDelivered {
 			continue
 		}
+		if e.isResumption && !e.hasEvents && !e.follows(id, number) {
+			err = errNoResumption
+			break
+		}
 		if number >= 0 {
 			e.lastDelivered = number
 		}
 		batch.data = append(batch.data, event...)
 		batch.count++
 		e.hasEvents = true
-		if id != "" {
+		batch.endsWithID = id != ""
+		if batch.endsWithID {
 			batch.lastID = id
 		}
 	}
@@ -132,6 +147,14 @@
 	return batch, err
 }
 
+// follows reports whether an event with a new ID can be the one after the last delivered event.
+func (e *eventReader) follows(id string, number int64) bool {
+	if e.lastDelivered >= 0 {
+		return number > e.lastDelivered
+	}
+	return id != "" && id != e.lastID
+}
+
 // eventEnd returns the offset after the first event, with the comments before it, or -1 if
 // the event is incomplete. It returns errNoEvent if there can't be one.
 func eventEnd(b []byte) (int, error) {
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -123,7 +123,7 @@
 	if c.ctx.Err() != nil {
 		return f.canceledProblem(c)
 	}
-	if fail.mayHaveRun && !c.route.IsRetryable() {
+	if fail.mayHaveRun && !c.isRetryable() {
 		return f.unknownOutcome(c)
 	}
 	if !f.mayRepeatAfterCrash(c) {
--- a/internal/forwarder/replacement.go
+++ b/internal/forwarder/replacement.go
@@ -47,7 +47,7 @@
 }
 
 // mayRepeat reports whether a call that may have run may be sent once more.
-func (c *call) mayRepeat() bool { return c.route.IsRetryable() && c.sendCount < c.maxSends() }
+func (c *call) mayRepeat() bool { return c.isRetryable() && c.sendCount < c.maxSends() }
 
 // maxSends is the limit of the sends of a call.
 func (c *call) maxSends() int { return min(c.route.MaxAttempts, maxSendCount) }
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -118,7 +118,8 @@
 		return
 	}
 	w.isDelivering = false
-	w.call.LastEventID, w.call.deliveredEvents, w.call.suspects.answerBegun = c.LastEventID, c.deliveredEvents, c.suspects.answerBegun
+	w.call.LastEventID, w.call.deliveredEvents, w.call.endsWithID = c.LastEventID, c.deliveredEvents, c.endsWithID
+	w.call.mediaType, w.call.suspects.answerBegun = c.mediaType, c.suspects.answerBegun
 	sw.detector.RecordOutput(now, id)
 }
 
