--- a/internal/forwarder/problem.go
+++ b/internal/forwarder/problem.go
@@ -84,7 +84,10 @@
 	}
 	if c.headerSent || p.CallerDisconnected {
 		// The connection closes before the end of the body, so that the caller cannot
-		// take the answer as complete.
+		// take the answer as complete. HTTP/1.0 has no other end than that of the connection.
+		if !c.request.ProtoAtLeast(1, 1) {
+			c.conn.ResetOnClose()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	body, err := json.Marshal(problemBody{Error: problemDetail{Code: p.Code, Message: p.Message, RequestID: c.RequestID}})
--- a/internal/receiver/conn.go
+++ b/internal/receiver/conn.go
@@ -141,6 +141,17 @@
 	return nil
 }
 
+// ResetOnClose makes the end of the connection a reset, which tells a caller without another way to see
+// the end of an answer that it was cut off.
+func (c *Conn) ResetOnClose() {
+	if c == nil {
+		return
+	}
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // SetReadDeadline implements net.Conn. It has no effect once reading has been ended.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
