Refuse a body in an encoding that nobody asked for

A success with Content-Encoding was passed on, though its body is then not the endpoint's body (PROTOCOL, Answers).

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -180,6 +180,8 @@
 		return &failure{result: result, sent: true, mayHaveRun: true, cause: fmt.Errorf("endpoint failed with status %d", status)}
 	case isSuccess(status) && !info.Signed:
 		return &failure{result: balancer.ResultFailed, sent: true, mayHaveRun: true, cause: errors.New("the answer is not signed")}
+	case isSuccess(status) && !acceptsEncoding(c.request.Header, a.answer.Header.Get("Content-Encoding")):
+		return f.interruptedAnswer(c, a, invalidAnswer("encoded with %q, which the caller did not ask for", a.answer.Header.Get("Content-Encoding")))
 	case isSuccess(status) && c.isStream():
 		return f.readFirstEvents(c, a)
 	default:
@@ -272,6 +274,22 @@
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
 
+// acceptsEncoding reports whether the sender of a request asked for a content encoding. Without
+// Accept-Encoding, it wants none.
+func acceptsEncoding(request http.Header, encoding string) bool {
+	if encoding == "" || strings.EqualFold(encoding, "identity") {
+		return true
+	}
+	for _, list := range request["Accept-Encoding"] {
+		for name := range strings.SplitSeq(list, ",") {
+			if name, _, _ = strings.Cut(name, ";"); strings.EqualFold(strings.TrimSpace(name), encoding) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // isRefusal reports whether a status may tell that the request has not run.
 func isRefusal(status int) bool {
 	return impliesNotRun(status) || status >= http.StatusBadRequest && status < http.StatusInternalServerError
