--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"flamingoledge.org/flamingoledge/internal/exchanger"
 	"flamingoledge.org/flamingoledge/internal/logger"
 	"flamingoledge.org/flamingoledge/pkg/balancer"
 )
@@ -21,7 +20,7 @@
 // negative length omits Content-Length.
 func (f *Forwarder) writeHeader(w http.ResponseWriter, c *call, a *attempt, length int) {
 	h := w.Header()
-	for k, v := range exchanger.EndToEndHeaders(a.answer.Header) {
+	for k, v := range a.header {
 		h[k] = v
 	}
 	if length >= 0 {
@@ -30,7 +29,7 @@
 	if f.isStopping() {
 		h.Set("Connection", "close")
 	}
-	c.headerSent, c.mediaType = true, mediaType(a.answer.Header)
+	c.headerSent, c.mediaType = true, mediaType(a.header)
 	w.WriteHeader(a.answer.Status)
 }
 
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -26,6 +26,8 @@
 	request  uint64
 	endpoint balancer.Endpoint
 	answer   *exchanger.Response
+	// header holds the end-to-end headers of the answer.
+	header http.Header
 	// body is an answer that was read completely. events reads a streamed answer, of
 	// which firstEvents has already been read.
 	body        bufferedBody
@@ -121,22 +123,24 @@
 	var endDelivery func()
 	a.ctx, endDelivery = f.undelivered.add(a.ctx, a.request, d.Endpoint, delivery)
 	answer, err := f.cfg.Pool.Exchange(a.ctx, exchanger.Request{
-		Address:         d.Endpoint.Address,
-		Method:          c.request.Method,
-		Target:          c.target,
-		Host:            c.request.Host,
-		Header:          f.cfg.Translator.Headers(c.request.Header, info),
-		Body:            c.body.Parts(),
-		NewConn:         !c.route.IsRetryable() || c.RequestID == "",
-		MatchesResponse: func(h http.Header) bool { return f.cfg.Translator.ResponseInfo(0, h).RequestID == c.RequestID },
-		Delivery:        delivery,
+		Address: d.Endpoint.Address,
+		Method:  c.request.Method,
+		Target:  c.target,
+		Host:    c.request.Host,
+		Header:  f.cfg.Translator.Headers(c.request.Header, info),
+		Body:    c.body.Parts(),
+		NewConn: !c.route.IsRetryable() || c.RequestID == "",
+		MatchesResponse: func(h http.Header) bool {
+			return f.cfg.Translator.ResponseInfo(0, exchanger.EndToEndHeaders(h)).RequestID == c.RequestID
+		},
+		Delivery: delivery,
 	})
 	endDelivery()
 	if err != nil {
 		return a, f.transportFailure(c, a, err)
 	}
 	c.sendCount++
-	a.answer = answer
+	a.answer, a.header = answer, exchanger.EndToEndHeaders(answer.Header)
 	if fail = f.checkAnswer(c, a); fail != nil {
 		answer.Close()
 		return a, fail
@@ -155,7 +159,7 @@
 // checkAnswer reads an answer until it is known whether it can be forwarded. It returns
 // nil if it can.
 func (f *Forwarder) checkAnswer(c *call, a *attempt) *failure {
-	info := f.cfg.Translator.ResponseInfo(a.answer.Status, a.answer.Header)
+	info := f.cfg.Translator.ResponseInfo(a.answer.Status, a.header)
 	if info.HasLoad {
 		now := f.cfg.Clock()
 		a.dispatcher.updateLoad(now, now, a.endpoint.ID, balancer.Load{Running: info.Running, Queued: info.Queued, Slowdown: info.Slowdown})
@@ -180,8 +184,8 @@
 		return &failure{result: result, sent: true, mayHaveRun: true, cause: fmt.Errorf("endpoint failed with status %d", status)}
 	case isSuccess(status) && !info.Signed:
 		return &failure{result: balancer.ResultFailed, sent: true, mayHaveRun: true, cause: errors.New("the answer is not signed")}
-	case isSuccess(status) && !acceptsEncoding(c.request.Header, a.answer.Header.Get("Content-Encoding")):
-		return f.interruptedAnswer(c, a, invalidAnswer("encoded with %q, which the caller did not ask for", a.answer.Header.Get("Content-Encoding")))
+	case isSuccess(status) && !acceptsEncoding(c.request.Header, a.header.Get("Content-Encoding")):
+		return f.interruptedAnswer(c, a, invalidAnswer("encoded with %q, which the caller did not ask for", a.header.Get("Content-Encoding")))
 	case isSuccess(status) && c.isStream():
 		return f.readFirstEvents(c, a)
 	default:
@@ -215,8 +219,8 @@
 // that of a stream only if the body is framed.
 func (f *Forwarder) readFirstEvents(c *call, a *attempt) *failure {
 	isResumption := c.deliveredEvents > 0
-	if isResumption && !c.isResumedBy(a.answer) {
-		return f.interruptedAnswer(c, a, invalidAnswer("status %d of type %q does not resume a stream", a.answer.Status, a.answer.Header.Get("Content-Type")))
+	if isResumption && !c.isResumedBy(a) {
+		return f.interruptedAnswer(c, a, invalidAnswer("status %d of type %q does not resume a stream", a.answer.Status, a.header.Get("Content-Type")))
 	}
 	a.events = newEventReader(a.answer, c.LastEventID, isResumption)
 	var err error
@@ -230,9 +234,9 @@
 }
 
 // isResumedBy reports whether an answer can go on with the stream that the caller has a part of.
-func (c *call) isResumedBy(answer *exchanger.Response) bool {
-	mediaType := mediaType(answer.Header)
-	return answer.Status == http.StatusOK && (mediaType == "" || c.mediaType == "" || mediaType == c.mediaType)
+func (c *call) isResumedBy(a *attempt) bool {
+	mediaType := mediaType(a.header)
+	return a.answer.Status == http.StatusOK && (mediaType == "" || c.mediaType == "" || mediaType == c.mediaType)
 }
 
 // mediaType returns the media type of an answer without its parameters, in lower case.
