--- a/internal/validator/head.go
+++ b/internal/validator/head.go
@@ -92,8 +92,9 @@
 
 const (
 	protocolName = "HTTP/1."
-	// statusLineBytes is the size of a status line without a reason.
-	statusLineBytes = len("HTTP/1.1 200 ")
+	// statusLineBytes is the size of a status line without a reason and the blank before it, which
+	// RFC 9112 lets recipients do without.
+	statusLineBytes = len("HTTP/1.1 200")
 )
 
 // checkProtocol checks the start of a status line, of which only a part may have been received.
@@ -109,7 +110,10 @@
 	if err := checkProtocol(line); err != nil {
 		return err
 	}
-	if len(line) < statusLineBytes || line[8] != ' ' || line[12] != ' ' || !httpguts.ValidHeaderFieldValue(string(line[statusLineBytes:])) {
+	if len(line) < statusLineBytes || line[8] != ' ' {
+		return lineError(line, "malformed status line")
+	}
+	if reason := line[statusLineBytes:]; len(reason) > 0 && reason[0] != ' ' || !httpguts.ValidHeaderFieldValue(string(reason)) {
 		return lineError(line, "malformed status line")
 	}
 	switch line[7] {
