--- a/internal/forwarder/refusal_test.go
+++ b/internal/forwarder/refusal_test.go
@@ -143,7 +143,7 @@
 				})
 				f := newTestForwarder(t, e)
 				for i := range int32(3) {
-					got := f.call(t.Context(), t, route, "Id", "request-"+string(rune('a'+i)))
+					got := f.call(t.Context(), t, route, "Id", "request-"+string('a'+i))
 					is.Equal(got.status, http.StatusOK)
 					is.Equal(got.aborted, false)
 					is.Equal(e.runs.Load(), i+1)
