Await whether the end of a connection becomes a reset

An endpoint that closes its connection while a long upload is on its way may send the end first and the reset when more of the upload arrives: a part of a body without a length then passed as complete, if the end was read before (seen once in a test whose server closed with nothing unread). The same held for uploads that fit into the buffers of the sockets.

The end counts once the host of the endpoint has acknowledged the complete request. If it has not, the connection is watched until it does, or until it is reset. TestEarlyResponse, "closed and reset", failed before; a server that closes for writing and then reads the rest is still answered whole.

--- a/internal/exchanger/early_response_test.go
+++ b/internal/exchanger/early_response_test.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// readSlowly closes the connection for writing, pauses and reads the request to its end.
+func readSlowly(conn *net.TCPConn) {
+	_ = conn.CloseWrite()
+	time.Sleep(20 * time.Millisecond)
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 // TestEarlyResponse guards against responses that were cut off by a reset and look complete, since the
 // reset was reported to the write of the request.
 func TestEarlyResponse(t *testing.T) {
@@ -71,7 +78,8 @@
 		"no length, reset later":         {head: unframed, end: reset(80 * time.Millisecond), lost: true},
 		"no length, closed unread":       {head: unframed, end: func(*net.TCPConn) { time.Sleep(20 * time.Millisecond) }, lost: true}, // the kernel resets it
 		"no length, read on and reset":   {head: unframed, end: func(conn *net.TCPConn) { _, _ = io.CopyN(io.Discard, conn, 300<<10); reset(0)(conn) }, lost: true},
-		"no length, closed for writing":  {head: unframed, end: func(conn *net.TCPConn) { _ = conn.CloseWrite(); time.Sleep(50 * time.Millisecond); reset(0)(conn) }},
+		"no length, closed and reset":    {head: unframed, end: func(conn *net.TCPConn) { _ = conn.CloseWrite(); reset(50 * time.Millisecond)(conn) }, lost: true},
+		"no length, closed, read slowly": {head: unframed, end: readSlowly},
 		"no length, all read":            {head: unframed, end: func(conn *net.TCPConn) { _ = conn.CloseWrite(); _, _ = io.Copy(io.Discard, conn) }},
 		"length, whole and reset":        {head: "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10000\r\n\r\n", end: reset(50 * time.Millisecond)},
 		"length, cut off":                {head: "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10001\r\n\r\n", end: reset(0), lost: true},
--- a/internal/exchanger/socket_reader.go
+++ b/internal/exchanger/socket_reader.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"time"
 
 	"flamingoledge.org/flamingoledge/internal/inspector"
 )
@@ -14,7 +15,8 @@
 var errConnAborted = fmt.Errorf("the connection was aborted: %w", io.ErrUnexpectedEOF)
 
 // socketReader reads from a connection. It fails with a HeadTooLargeError while a limit is set and
-// used up, and returns io.EOF only if the server closed the connection in order.
+// used up, and returns io.EOF only if the server closed the connection in order, after it took the
+// complete request.
 type socketReader struct {
 	conn    net.Conn
 	limited bool
@@ -32,26 +34,60 @@
 		b = b[:min(len(b), r.left)]
 	}
 	n, err = r.conn.Read(b)
+	for wait := minEndWait; errors.Is(err, io.EOF); wait = min(2*wait, maxEndWait) {
+		switch r.endOfConn() {
+		case endInOrder:
+			return 0, io.EOF
+		case endAborted:
+			return 0, errConnAborted
+		case endUndecided:
+			time.Sleep(wait)
+		}
+		n, err = r.conn.Read(b)
+	}
 	if r.limited {
 		r.left -= n
 	}
-	if errors.Is(err, io.EOF) && !r.isClosedInOrder() {
-		err = errConnAborted
-	}
 	return n, err
 }
 
+const (
+	// minEndWait and maxEndWait bound the time between checks whether a server takes the rest of a
+	// request after the end of its response.
+	minEndWait = time.Millisecond
+	maxEndWait = 20 * time.Millisecond
+)
+
 // limit bounds the bytes that are read until the returned function is called.
 func (r *socketReader) limit(n int) (end func()) {
 	r.limited, r.left = true, n
 	return func() { r.limited = false }
 }
 
-// isClosedInOrder reports whether the end of the connection is its server's. A socket reports a
-// reset once: if a concurrent write gets the error, the reader sees the end of the connection
-// instead. Only the state of the socket tells them apart then.
-func (r *socketReader) isClosedInOrder() bool {
-	return isClosed(r.requestWritten) || inspector.IsClosedByPeer(r.conn)
+// connEnd tells what the end of a connection means.
+type connEnd int
+
+const (
+	// endUndecided is an end of which it is not known yet whether the server resets the connection.
+	endUndecided connEnd = iota
+	endInOrder
+	endAborted
+)
+
+// endOfConn returns what the end of the connection means. A server that has taken the complete request
+// closed it in order. One that has not may reset it, which a socket reports once: if a concurrent write
+// gets the error, the reader sees the end of the connection instead.
+func (r *socketReader) endOfConn() connEnd {
+	n, err := inspector.Unacknowledged(r.conn)
+	hasTaken := err != nil || n == 0
+	switch {
+	case hasTaken && isClosed(r.requestWritten):
+		return endInOrder
+	case inspector.IsClosedByPeer(r.conn):
+		return endUndecided
+	default:
+		return endAborted
+	}
 }
 
 func isClosed(c <-chan struct{}) bool {
