--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -215,8 +215,8 @@
 	return &exchanger.InvalidResponseError{Cause: fmt.Errorf(format, args...)}
 }
 
-// readFirstEvents reads the first events of a streamed answer. The end of a connection before them is
-// that of a stream only if the body is framed.
+// readFirstEvents reads the first events of a streamed answer. An end before them is that of a stream
+// only if the body is framed and has the media type of what the caller has of the stream.
 func (f *Forwarder) readFirstEvents(c *call, a *attempt) *failure {
 	isResumption := c.deliveredEvents > 0
 	if isResumption && !c.isResumedBy(a) {
@@ -227,7 +227,7 @@
 	if a.firstEvents, err = a.events.next(); err != nil && !errors.Is(err, io.EOF) {
 		return f.interruptedAnswer(c, a, err)
 	}
-	if a.events.atEnd && a.firstEvents.count == 0 && !a.answer.IsFramed() {
+	if a.events.atEnd && a.firstEvents.count == 0 && (!a.answer.IsFramed() || c.mediaType != "" && mediaType(a.header) == "") {
 		return f.interruptedAnswer(c, a, errNoFirstEvent)
 	}
 	return nil
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -33,9 +33,10 @@
 	lastID        string
 	// isResumption is set if the events follow those of another endpoint.
 	isResumption bool
-	// hasEvents is set once there was an event.
-	hasEvents bool
-	atEnd     bool
+	// hasEvents is set once there was an event, and hasSkipped once one was skipped.
+	hasEvents  bool
+	hasSkipped bool
+	atEnd      bool
 	// invalid is why the stream can't go on after the events that were returned.
 	invalid error
 }
@@ -54,7 +55,7 @@
 	errNoFirstEvent = errors.New("the connection ended before the first event")
 	errNoEvent      = errors.New("the stream has something else than events")
 	// errNoResumption is returned if the first event of a resumption has no ID by which it follows the
-	// last one that the caller has.
+	// last one that the caller has, or if there are only events before that one.
 	errNoResumption = errors.New("the stream does not go on after the last event")
 )
 
@@ -99,6 +100,9 @@
 
 // end returns the last events of a stream, with the comments that follow them.
 func (e *eventReader) end(batch events) (events, error) {
+	if e.isResumption && e.hasSkipped && !e.hasEvents {
+		return events{}, &exchanger.InvalidResponseError{Cause: errNoResumption}
+	}
 	if rest := e.pending; len(rest) > 0 {
 		for end := blockEnd(rest); end >= 0; end = blockEnd(rest) {
 			rest = rest[end:]
@@ -126,6 +130,7 @@
 		rest = rest[end:]
 		id, number := eventID(event)
 		if number >= 0 && number <= e.lastDelivered {
+			e.hasSkipped = true
 			continue
 		}
 		if e.isResumption && !e.hasEvents && !e.follows(id, number) {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -84,6 +84,7 @@
 	e := &endpoint{disconnected: make(chan struct{}, 10)}
 	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Content-Type", "text/event-stream")
 		h(e, w, r)
 	}))
 	t.Cleanup(e.server.Close)
