Plainer words and shared conditions after a read-through

One condition tells which statuses may refuse, for endpoints of both interfaces, and one which answers without an event end a stream. Comments, names and pages say acknowledged, malformed and HTTP/1.0. A held answer to a long upload of which an endpoint leaves a part unread is described. No decision changes.

--- a/internal/endpointclient/client.go
+++ b/internal/endpointclient/client.go
@@ -230,7 +230,7 @@
 	if attempt != r.AttemptID && (attempt != "" || resp.IsConnReused) {
 		return &ResponseMismatchError{Field: HeaderAttemptID, Got: attempt, Want: r.AttemptID}
 	}
-	if resp.Status < http.StatusBadRequest || resp.Status >= http.StatusInternalServerError && resp.Status != http.StatusServiceUnavailable {
+	if !resp.MayRefuse() {
 		return &UnknownOutcomeError{Reason: "refused with status " + strconv.Itoa(resp.Status)}
 	}
 	if n, err := io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes)); err != nil || n == maxResponseBytes {
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -318,7 +318,7 @@
 func (resp *Response) readHead(r Request) (err error) {
 	defer resp.conn.reader.limit(maxHeadBytes)()
 	for {
-		// http.ReadResponse accepts heads that are none.
+		// http.ReadResponse accepts malformed heads.
 		if _, err = resp.conn.scan(&validator.Head{}); err != nil {
 			return err
 		}
@@ -361,6 +361,11 @@
 	return n, resp.readErr
 }
 
+// MayRefuse reports whether a response may tell by its status that the request has not run.
+func (resp *Response) MayRefuse() bool {
+	return resp.Status >= http.StatusBadRequest && resp.Status < http.StatusInternalServerError || resp.Status == http.StatusServiceUnavailable
+}
+
 // IsFollowed reports whether the server has sent more after the complete body.
 func (resp *Response) IsFollowed() bool {
 	n, _ := inspector.Unread(resp.conn.Conn)
--- a/internal/exchanger/socket_reader.go
+++ b/internal/exchanger/socket_reader.go
@@ -15,8 +15,8 @@
 var errConnAborted = fmt.Errorf("the connection was aborted: %w", io.ErrUnexpectedEOF)
 
 // socketReader reads from a connection. It fails with a HeadTooLargeError while a limit is set and
-// used up, and returns io.EOF only if the server closed the connection in order, after it took the
-// complete request.
+// used up, and returns io.EOF only if the server closed the connection in order, after its host
+// acknowledged the complete request.
 type socketReader struct {
 	conn    net.Conn
 	limited bool
@@ -52,8 +52,8 @@
 }
 
 const (
-	// minEndWait and maxEndWait bound the time between checks whether a server takes the rest of a
-	// request after the end of its response.
+	// minEndWait and maxEndWait bound the time between checks whether the rest of a request is
+	// acknowledged after the end of its response.
 	minEndWait = time.Millisecond
 	maxEndWait = 20 * time.Millisecond
 )
@@ -74,14 +74,14 @@
 	endAborted
 )
 
-// endOfConn returns what the end of the connection means. A server that has taken the complete request
-// closed it in order. One that has not may reset it, which a socket reports once: if a concurrent write
-// gets the error, the reader sees the end of the connection instead.
+// endOfConn returns what the end of the connection means. It is in order once the complete request is
+// acknowledged. Before that, the server may still reset the connection, which a socket reports once: if a
+// concurrent write gets the error, the reader sees the end of the connection instead.
 func (r *socketReader) endOfConn() connEnd {
 	n, err := inspector.Unacknowledged(r.conn)
-	hasTaken := err != nil || n == 0
+	isAcknowledged := err != nil || n == 0
 	switch {
-	case hasTaken && isClosed(r.requestWritten):
+	case isAcknowledged && isClosed(r.requestWritten):
 		return endInOrder
 	case inspector.IsClosedByPeer(r.conn):
 		return endUndecided
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -170,7 +170,7 @@
 	f.recordAdvice(a, info)
 	status := a.answer.Status
 	switch {
-	case info.NotRun && isRefusal(status):
+	case info.NotRun && a.answer.MayRefuse():
 		return f.readRefusal(c, a)
 	case info.NotRun:
 		return f.interruptedAnswer(c, a, invalidAnswer("status %d of a request that was not run", status))
@@ -215,8 +215,7 @@
 	return &exchanger.InvalidResponseError{Cause: fmt.Errorf(format, args...)}
 }
 
-// readFirstEvents reads the first events of a streamed answer. An end before them is that of a stream
-// only if the body is framed and has the media type of what the caller has of the stream.
+// readFirstEvents reads the first events of a streamed answer.
 func (f *Forwarder) readFirstEvents(c *call, a *attempt) *failure {
 	isResumption := c.deliveredEvents > 0
 	if isResumption && !c.isResumedBy(a) {
@@ -227,7 +226,7 @@
 	if a.firstEvents, err = a.events.next(); err != nil && !errors.Is(err, io.EOF) {
 		return f.interruptedAnswer(c, a, err)
 	}
-	if a.events.atEnd && a.firstEvents.count == 0 && (!a.answer.IsFramed() || c.mediaType != "" && mediaType(a.header) == "") {
+	if a.events.atEnd && a.firstEvents.count == 0 && !c.isEndedBy(a) {
 		return f.interruptedAnswer(c, a, errNoFirstEvent)
 	}
 	return nil
@@ -239,6 +238,12 @@
 	return a.answer.Status == http.StatusOK && (mediaType == "" || c.mediaType == "" || mediaType == c.mediaType)
 }
 
+// isEndedBy reports whether an answer without an event is the end of a stream, rather than that of an
+// endpoint which crashed before the first event or of something else than a stream.
+func (c *call) isEndedBy(a *attempt) bool {
+	return a.answer.IsFramed() && (c.mediaType == "" || mediaType(a.header) == c.mediaType)
+}
+
 // mediaType returns the media type of an answer without its parameters, in lower case.
 func mediaType(h http.Header) string {
 	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
@@ -294,11 +299,6 @@
 	return false
 }
 
-// isRefusal reports whether a status may tell that the request has not run.
-func isRefusal(status int) bool {
-	return impliesNotRun(status) || status >= http.StatusBadRequest && status < http.StatusInternalServerError
-}
-
 // impliesNotRun reports whether callers take a status as a guarantee that the request
 // has not run.
 func impliesNotRun(status int) bool {
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -50,9 +50,9 @@
 var (
 	// errIncompleteEvent is returned if a stream ends within an event.
 	errIncompleteEvent = errors.New("the stream ended inside an event")
-	// errNoFirstEvent is returned if a connection whose end is that of the stream ends before
-	// the first event, as that of an endpoint which crashes does.
-	errNoFirstEvent = errors.New("the connection ended before the first event")
+	// errNoFirstEvent is returned if a stream ends before the first event, as that of an endpoint which
+	// crashes does.
+	errNoFirstEvent = errors.New("the stream ended before the first event")
 	errNoEvent      = errors.New("the stream has something else than events")
 	// errNoResumption is returned if the first event of a resumption has no ID by which it follows the
 	// last one that the caller has, or if there are only events before that one.
--- a/internal/forwarder/old_caller_test.go
+++ b/internal/forwarder/http10_caller_test.go
@@ -8,9 +8,9 @@
 	"github.com/matryer/is"
 )
 
-// TestBrokenStreamOfOldCaller guards against a stream that broke off and looks complete to a caller with HTTP/1.0,
+// TestBrokenStreamToHTTP10Caller guards against a stream that broke off and looks complete to a caller with HTTP/1.0,
 // whose answers end with the connection.
-func TestBrokenStreamOfOldCaller(t *testing.T) {
+func TestBrokenStreamToHTTP10Caller(t *testing.T) {
 	for name, tc := range map[string]struct {
 		end    func(net.Conn)
 		broken bool
