Check the status responses that tools read

Publishing counted a record as in force by an entry's status with any status code, 500 as well, and with a status 000 or a blank in a field's name, as the other tools and the load tool read them. They dial with validator.Dialer now, like the platform's clients, and a status response has to be a 200.

--- a/cmd/flamingoledge-node/cmds/explain.go
+++ b/cmd/flamingoledge-node/cmds/explain.go
@@ -19,6 +19,7 @@
 	"flamingoledge.org/flamingoledge/internal/forwarder"
 	"flamingoledge.org/flamingoledge/internal/gatewayserver"
 	"flamingoledge.org/flamingoledge/internal/tracer"
+	"flamingoledge.org/flamingoledge/internal/validator"
 )
 
 // explainTimeout is how long an entry may take to answer, which it does from memory.
@@ -166,7 +167,8 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + address + gatewayserver.PathExplain)
 	req.SetBody(body)
-	if err = fasthttp.DoTimeout(req, resp, explainTimeout); err != nil {
+	client := fasthttp.Client{Dial: validator.Dialer(explainTimeout)}
+	if err = client.DoTimeout(req, resp, explainTimeout); err != nil {
 		return e, eris.Wrapf(err, "the entry can't be reached at %s", address)
 	}
 	switch resp.StatusCode() {
--- a/cmd/flamingoledge/cmds/status.go
+++ b/cmd/flamingoledge/cmds/status.go
@@ -13,6 +13,7 @@
 	"flamingoledge.org/flamingoledge/internal/platformclient"
 	"flamingoledge.org/flamingoledge/internal/publisher"
 	"flamingoledge.org/flamingoledge/internal/reporter"
+	"flamingoledge.org/flamingoledge/internal/validator"
 	"flamingoledge.org/flamingoledge/pkg/provider"
 )
 
@@ -36,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	http := &fasthttp.Client{}
+	http := &fasthttp.Client{Dial: validator.Dialer(cmd.Duration(flagTimeout))}
 	var statuses []reporter.Status
 	for _, i := range instances {
 		if i.Role != provider.RoleEntry {
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -16,6 +16,7 @@
 
 	"flamingoledge.org/flamingoledge/internal/endpointclient"
 	"flamingoledge.org/flamingoledge/internal/entryserver"
+	"flamingoledge.org/flamingoledge/internal/validator"
 )
 
 // Config configures a Caller.
@@ -24,6 +25,9 @@
 	MaxConnections int
 }
 
+// dialTimeout bounds opening a connection to an entry, as the default of fasthttp does.
+const dialTimeout = fasthttp.DefaultDialTimeout
+
 // Caller sends requests to entries. It is safe for concurrent use.
 type Caller struct {
 	client *fasthttp.Client
@@ -32,6 +36,7 @@
 // New returns a caller.
 func New(cfg Config) *Caller {
 	return &Caller{client: &fasthttp.Client{
+		Dial:                      validator.Dialer(dialTimeout),
 		MaxConnsPerHost:           cfg.MaxConnections,
 		StreamResponseBody:        true,
 		MaxIdemponentCallAttempts: 1,
--- a/internal/publisher/propagation.go
+++ b/internal/publisher/propagation.go
@@ -12,6 +12,7 @@
 
 	"flamingoledge.org/flamingoledge/internal/reporter"
 	"flamingoledge.org/flamingoledge/internal/sleeper"
+	"flamingoledge.org/flamingoledge/internal/validator"
 	"flamingoledge.org/flamingoledge/pkg/provider"
 )
 
@@ -43,7 +44,7 @@
 // It calls progress, if not nil, when the number of instances changes. If ctx ends
 // first, the error is a *LagError.
 func AwaitPropagation(ctx context.Context, directory provider.Directory, offset uint64, progress func(Propagation)) (p Propagation, err error) {
-	client := &fasthttp.Client{ReadTimeout: statusTimeout, WriteTimeout: statusTimeout}
+	client := &fasthttp.Client{Dial: validator.Dialer(statusTimeout), ReadTimeout: statusTimeout, WriteTimeout: statusTimeout}
 	lastInForceCount := -1
 	for {
 		current := measurePropagation(ctx, directory, client, offset)
@@ -112,9 +113,12 @@
 
 // FetchStatus fetches the status of an entry over HTTP.
 func FetchStatus(client *fasthttp.Client, address string) (st reporter.Status, err error) {
-	_, body, err := client.GetTimeout(nil, "http://"+address+"/v1/status", statusTimeout)
+	status, body, err := client.GetTimeout(nil, "http://"+address+"/v1/status", statusTimeout)
 	if err != nil {
 		return st, err
 	}
+	if status != fasthttp.StatusOK {
+		return st, &provider.UnavailableError{Operation: "fetch status", Status: status}
+	}
 	return st, json.Unmarshal(body, &st)
 }
--- a/internal/validator/conn.go
+++ b/internal/validator/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"time"
 
 	"flamingoledge.org/flamingoledge/internal/inspector"
 )
@@ -30,6 +31,17 @@
 	start    int
 }
 
+// Dialer returns a function that opens Conns, for the libraries' Dial fields.
+func Dialer(timeout time.Duration) func(address string) (net.Conn, error) {
+	return func(address string) (net.Conn, error) {
+		conn, err := net.DialTimeout("tcp", address, timeout)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+}
+
 // NewConn returns a Conn without requests.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, head: &Head{}} }
 
--- a/internal/validator/conn_test.go
+++ b/internal/validator/conn_test.go
@@ -42,13 +42,7 @@
 			}()
 		}
 	}()
-	return &fasthttp.HostClient{Addr: lis.Addr().String(), MaxIdemponentCallAttempts: 1, Dial: func(address string) (net.Conn, error) {
-		c, derr := net.Dial("tcp", address)
-		if derr != nil {
-			return nil, derr
-		}
-		return validator.NewConn(c), nil
-	}}, conns
+	return &fasthttp.HostClient{Addr: lis.Addr().String(), MaxIdemponentCallAttempts: 1, Dial: validator.Dialer(testTimeout)}, conns
 }
 
 // answerAll answers each request on a connection with the same bytes, in parts of a size.
