--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -138,6 +138,9 @@
 // SidecarIP is the address of the i-th sidecar and its engine.
 func (s *System) SidecarIP(i int) string { return fmt.Sprintf("127.%d.2.%d", s.network, i+1) }
 
+// Port is the first port that the system uses.
+func (s *System) Port() int { return s.port }
+
 // EntryAddress is where callers reach an entry.
 func (s *System) EntryAddress(i int) string { return fmt.Sprintf("%s:%d", s.EntryIP(i), s.port+1) }
 
@@ -387,6 +390,31 @@
 	return a
 }
 
+// Look sends a safe request for the plain service to an entry.
+func (s *System) Look(entry int) (a Answer) {
+	a = Answer{ID: fmt.Sprintf("r%d", lastRequest.Add(1)), SentAt: time.Now()}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.EntryAddress(entry)+"/look/1", nil)
+	if err != nil {
+		a.Err = err
+		return a
+	}
+	r.Host, r.Close = "h.example", true
+	for k, v := range map[string]string{"X-Request-Id": a.ID, "X-Deadline-Ms": "600", "X-Api-Key": "k"} {
+		r.Header.Set(k, v)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		a.Err = err
+		return a
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	a.Status, a.Body, a.Err = resp.StatusCode, string(b), err
+	return a
+}
+
 // Traffic sends streams to the entries in turn, at a rate, until ctx ends, and returns the answers. A
 // client retries once, as the sheet says, after a refusal or a failed connection; each is an answer of
 // its own.
