--- a/review/rig3/deadly.go
+++ b/review/rig3/deadly.go
@@ -56,28 +56,37 @@
 // part crashes nothing unless isDeadly is set.
 func (s *System) StartDeadly(r *Record, n, position int, isDeadly bool) (*Deadly, error) {
 	d := &Deadly{Position: position, record: r, system: s}
+	if err := d.Add(n, isDeadly); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// Add starts n more runners, of the service of the system, and their sidecars.
+func (d *Deadly) Add(n int, isDeadly bool) error {
+	s := d.system
 	var parts []string
 	if isDeadly {
 		parts = []string{deadlyPart}
 	}
-	for i := range n {
+	for i := len(d.runners); n > 0; n-- {
 		v, err := standin.NewSupervisor(standin.SupervisorConfig{
 			Engine: standin.EngineConfig{
-				ID: fmt.Sprintf("i-%d", i), Service: "llm", Zone: "z", Address: s.EngineAddress(i), Store: s.Store, Weights: s.Weights, Spec: Spec, Version: 1,
+				ID: fmt.Sprintf("i-%d", i), Service: s.service(), Zone: "z", Address: s.EngineAddress(i), Store: s.Store, Weights: s.Weights, Spec: Spec, Version: 1,
 			},
 			CrashParts: parts, RestartAfter: restartAfter,
 		})
 		if err != nil {
-			d.Close()
-			return nil, err
+			return err
 		}
 		d.runners = append(d.runners, v)
 		if err = s.StartSidecar(i); err != nil {
-			d.Close()
-			return nil, err
+			return err
 		}
+		i++
 	}
-	return d, nil
+	return nil
 }
 
 // Close ends the runners.
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -3,6 +3,7 @@
 package rig3
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -82,6 +83,10 @@
 	Engines []*standin.Engine
 	// OriginAddress is where the configuration says that the origin is.
 	OriginAddress string
+	// Service is that of the sidecars and engines that are started; "llm" if empty.
+	Service string
+	// Pools are services beside "llm" that have the same engines and the same share of its route.
+	Pools []string
 	// Prompt returns the parts of a prompt with a number for its own one; nil for two parts.
 	Prompt func(number string) string
 
@@ -144,6 +149,8 @@
 // EntryAddress is where callers reach an entry.
 func (s *System) EntryAddress(i int) string { return fmt.Sprintf("%s:%d", s.EntryIP(i), s.port+1) }
 
+func (s *System) service() string { return cmp.Or(s.Service, "llm") }
+
 // Configure writes the operators' configuration.
 func (s *System) Configure(version int, extraServices ...map[string]any) {
 	route := func(name, kind, service string, timeout, attempts int) map[string]any {
@@ -152,20 +159,29 @@
 			"priority": 1, "service": service, "max_attempts": attempts, "anonymous": false, "resumable": kind == "streaming", "gap_target_ms": 400,
 		}
 	}
-	services := []any{
-		map[string]any{"name": "llm", "max_conns": 364, "engine": map[string]any{
+	services := []any{map[string]any{"name": "weights", "origin": s.OriginAddress, "zone": "z", "link_mbps": LinkMbps, "max_conns": 48}}
+	draft := route("draft", "streaming", "llm", 6000, 2)
+	if len(s.Pools) > 0 {
+		delete(draft, "service")
+	}
+	var split []any
+	for _, name := range append([]string{"llm"}, s.Pools...) {
+		services = append(services, map[string]any{"name": name, "max_conns": 364, "engine": map[string]any{
 			"slots": Spec.Slots, "stride": Spec.Stride, "step_ms": 9, "read_per_s": Spec.PrefillTokensPerSecond,
 			"usual": map[string]any{"prompt": Spec.MeanPromptTokens, "answer": Spec.MeanAnswerTokens}, "layers": 2, "chunks": Chunks, "chunk_bytes": ChunkBytes,
 			"models": []any{map[string]any{"name": "m0"}},
-		}},
-		map[string]any{"name": "weights", "origin": s.OriginAddress, "zone": "z", "link_mbps": LinkMbps, "max_conns": 48},
+		}})
+		split = append(split, map[string]any{"service": name, "weight": 1})
+	}
+	if len(s.Pools) > 0 {
+		draft["split"] = split
 	}
 	for _, e := range extraServices {
 		services = append(services, e)
 	}
 	s.Store.PutConfiguration(map[string]any{
 		"version": version, "services": services,
-		"routes":  []any{route("draft", "streaming", "llm", 6000, 2), route("order", "unsafe", "plain", 0, 1), route("look", "safe", "plain", 0, 2)},
+		"routes":  []any{draft, route("order", "unsafe", "plain", 0, 1), route("look", "safe", "plain", 0, 2)},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 5000, "idle_timeout_ms": 10000},
 		"tenants": []any{map[string]any{"name": "w", "api_keys": []string{"k"}}},
 	})
@@ -218,7 +234,7 @@
 // StartSidecar starts the sidecar of the i-th engine.
 func (s *System) StartSidecar(i int) error {
 	n := s.settings(fmt.Sprintf("sidecar-%d", i), s.SidecarIP(i))
-	n["endpoint_address"], n["service"] = s.EngineAddress(i), "llm"
+	n["endpoint_address"], n["service"] = s.EngineAddress(i), s.service()
 	n["link_mbps"], n["memory_mb"], n["max_descriptors"] = LinkMbps, 152, 2048
 	return s.start(fmt.Sprintf("sidecar-%d", i), "sidecar", n)
 }
@@ -230,7 +246,7 @@
 func (s *System) StartEngine(i int, version uint64) error {
 	s.starts++
 	e, err := standin.NewEngine(standin.EngineConfig{
-		ID: fmt.Sprintf("i-%d-%d", i, s.starts), Service: "llm", Zone: "z", Address: s.EngineAddress(i), Store: s.Store, Weights: s.Weights, Spec: Spec, Version: version,
+		ID: fmt.Sprintf("i-%d-%d", i, s.starts), Service: s.service(), Zone: "z", Address: s.EngineAddress(i), Store: s.Store, Weights: s.Weights, Spec: Spec, Version: version,
 	})
 	if err == nil {
 		s.Engines = append(s.Engines, e)
